--- /dev/null
+++ b/libs/admission/src/verbenamux_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Rate shares in escrow, leases, witnesses and claims."""
--- /dev/null
+++ b/libs/admission/src/verbenamux_admission/book.py
@@ -0,0 +1,239 @@
+"""Who holds which rate units: a fold over the log's shares stream."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+import msgspec
+
+WHOLE = 1_000_000
+
+
+class ShareRecord(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field='kind',
+):
+    """Base of the records on the shares stream."""
+
+
+class HolderStart(ShareRecord, frozen=True, tag='holder_start'):
+    """A holder presents itself with the witnesses of its lease."""
+
+    holder: str
+    witnesses: tuple[str, ...]
+
+
+class WitnessStart(ShareRecord, frozen=True, tag='witness_start'):
+    """A witness begins to promise; its earlier instances are void."""
+
+    witness: str
+    instance: str
+
+
+class ClaimUnits(ShareRecord, frozen=True, tag='claim'):
+    """A holder takes all units of workspaces that nobody ever held."""
+
+    holder: str
+    workspaces: tuple[str, ...]
+
+
+class GrantUnits(ShareRecord, frozen=True, tag='grant'):
+    """A holder gives units away; it stopped using them before."""
+
+    giver: str
+    receiver: str
+    units_by_workspace: dict[str, int]
+
+
+class ConsentNote(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The consent of one instance of a witness."""
+
+    witness: str
+    instance: str
+
+
+class ReclaimUnits(ShareRecord, frozen=True, tag='reclaim'):
+    """A holder takes over all units of a dead one, with consents."""
+
+    dead: str
+    claimant: str
+    consents: tuple[ConsentNote, ...]
+
+
+class BookSnapshot(ShareRecord, frozen=True, tag='snapshot'):
+    """The book as any reader had folded it through an offset."""
+
+    through_offset: int
+    units_by_workspace: dict[str, dict[str, int]]
+    witnesses_by_holder: dict[str, tuple[str, ...]]
+    instance_by_witness: dict[str, str]
+
+
+AnyShareRecord: TypeAlias = (
+    HolderStart
+    | WitnessStart
+    | ClaimUnits
+    | GrantUnits
+    | ReclaimUnits
+    | BookSnapshot
+)
+
+
+def encode_share_record(record: ShareRecord) -> bytes:
+    """Return a record as JSON bytes."""
+    return msgspec.json.encode(record)
+
+
+@dataclass(slots=True)
+class ShareBook:
+    """The units of every workspace by holder, as of a log offset.
+
+    Records that break a rule change nothing, on every reader alike. The
+    units of a workspace never sum to more than WHOLE.
+    """
+
+    through_offset: int = 0
+    units_by_workspace: dict[str, dict[str, int]] = field(
+        default_factory=lambda: defaultdict(dict),
+    )
+    witnesses_by_holder: dict[str, tuple[str, ...]] = field(
+        default_factory=dict,
+    )
+    instance_by_witness: dict[str, str] = field(default_factory=dict)
+    consents_checked: bool = True
+
+    def units(self, workspace: str, holder: str) -> int:
+        """Return the units of a workspace that a holder has."""
+        return self.units_by_workspace.get(workspace, {}).get(holder, 0)
+
+    def holders(self, workspace: str) -> list[str]:
+        """Return who holds a workspace's units, most first."""
+        by_holder = self.units_by_workspace.get(workspace, {})
+        return sorted(by_holder, key=lambda holder: -by_holder[holder])
+
+    def is_claimed(self, workspace: str) -> bool:
+        """Tell whether somebody holds the workspace's units."""
+        return workspace in self.units_by_workspace
+
+    def known_holders(self) -> frozenset[str]:
+        """Return everyone who holds a unit of anything."""
+        return frozenset(
+            holder
+            for by_holder in self.units_by_workspace.values()
+            for holder in by_holder
+        )
+
+    def fold(self, first_offset: int, bodies: Iterable[bytes]) -> None:
+        """Fold a run of records; those folded before are skipped."""
+        for offset, body in enumerate(bodies, first_offset):
+            if offset < self.through_offset:
+                continue
+            self._fold_one(body)
+            self.through_offset = offset + 1
+
+    def snapshot(self) -> BookSnapshot:
+        """Return the book as a record."""
+        return BookSnapshot(
+            self.through_offset,
+            {name: dict(by) for name, by in self.units_by_workspace.items()},
+            dict(self.witnesses_by_holder),
+            dict(self.instance_by_witness),
+        )
+
+    def restore(self, snapshot: BookSnapshot) -> None:
+        """Start from a snapshot, if it is newer than this book."""
+        if snapshot.through_offset <= self.through_offset:
+            return
+        self.through_offset = snapshot.through_offset
+        self.units_by_workspace = defaultdict(dict)
+        for name, by_holder in snapshot.units_by_workspace.items():
+            self.units_by_workspace[name] = dict(by_holder)
+        self.witnesses_by_holder = dict(snapshot.witnesses_by_holder)
+        self.instance_by_witness = dict(snapshot.instance_by_witness)
+
+    def has_majority(self, record: ReclaimUnits) -> bool:
+        """Tell whether a reclaim carries a majority's valid consents."""
+        witnesses = self.witnesses_by_holder.get(record.dead, ())
+        consenting = {
+            note.witness
+            for note in record.consents
+            if note.witness in witnesses
+            and self.instance_by_witness.get(note.witness) == note.instance
+        }
+        return 2 * len(consenting) > len(witnesses)
+
+    def _fold_one(self, body: bytes) -> None:
+        try:
+            record = msgspec.json.decode(body, type=AnyShareRecord)
+        except msgspec.MsgspecError:
+            return
+        FOLDER_BY_RECORD[type(record)](self, record)
+
+
+def _start_holder(book: ShareBook, record: HolderStart) -> None:
+    book.witnesses_by_holder.setdefault(record.holder, record.witnesses)
+
+
+def _start_witness(book: ShareBook, record: WitnessStart) -> None:
+    book.instance_by_witness[record.witness] = record.instance
+
+
+def _claim(book: ShareBook, record: ClaimUnits) -> None:
+    if record.holder not in book.witnesses_by_holder:
+        return
+    for workspace in record.workspaces:
+        if not book.is_claimed(workspace):
+            book.units_by_workspace[workspace] = {record.holder: WHOLE}
+
+
+def _grant(book: ShareBook, record: GrantUnits) -> None:
+    if record.receiver not in book.witnesses_by_holder:
+        return
+    for workspace, units in record.units_by_workspace.items():
+        if 0 < units <= book.units(workspace, record.giver):
+            _move(book, workspace, record.giver, record.receiver, units)
+
+
+def _reclaim(book: ShareBook, record: ReclaimUnits) -> None:
+    if record.claimant not in book.witnesses_by_holder:
+        return
+    if record.claimant == record.dead:
+        return
+    if book.consents_checked and not book.has_majority(record):
+        return
+    for workspace in book.units_by_workspace:
+        units = book.units(workspace, record.dead)
+        if units:
+            _move(book, workspace, record.dead, record.claimant, units)
+    book.witnesses_by_holder.pop(record.dead, None)
+
+
+def _skip_snapshot(book: ShareBook, record: BookSnapshot) -> None:
+    """Readers that fold from before a snapshot need nothing of it."""
+
+
+def _move(
+    book: ShareBook,
+    workspace: str,
+    giver: str,
+    receiver: str,
+    units: int,
+) -> None:
+    by_holder = book.units_by_workspace[workspace]
+    by_holder[giver] -= units
+    if not by_holder[giver]:
+        del by_holder[giver]
+    by_holder[receiver] = by_holder.get(receiver, 0) + units
+
+
+FOLDER_BY_RECORD: dict[type[ShareRecord], Callable[[ShareBook, Any], None]] = {
+    HolderStart: _start_holder,
+    WitnessStart: _start_witness,
+    ClaimUnits: _claim,
+    GrantUnits: _grant,
+    ReclaimUnits: _reclaim,
+    BookSnapshot: _skip_snapshot,
+}
--- /dev/null
+++ b/libs/admission/src/verbenamux_admission/lease.py
@@ -0,0 +1,80 @@
+"""A holder's lease, kept by promises from a majority of witnesses."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+@dataclass(slots=True)
+class HolderLease:
+    """Promises by witness, each ending on the holder's own clock.
+
+    An end counts from before the renewal was sent, so it is never later
+    than what the witness keeps. `current_instance` tells which instance
+    of a witness the log last saw start, or None when it saw none.
+    """
+
+    witnesses: tuple[str, ...] = ()
+    end_by_witness: dict[str, timedelta] = field(default_factory=dict)
+    current_instance: Callable[[str], str | None] = lambda witness: None
+
+    def renew(
+        self,
+        witness: str,
+        instance: str,
+        asked_at: timedelta,
+        duration: timedelta,
+    ) -> None:
+        """Note a promise; one of an instance known to be old is void."""
+        if self.current_instance(witness) != instance:
+            return
+        end = asked_at + duration
+        known = self.end_by_witness.get(witness, timedelta())
+        self.end_by_witness[witness] = max(known, end)
+
+    def is_valid(self, now: timedelta) -> bool:
+        """Tell whether a majority's promises are still running."""
+        running = sum(
+            1
+            for witness in self.witnesses
+            if self.end_by_witness.get(witness, timedelta()) > now
+        )
+        return 2 * running > len(self.witnesses)
+
+
+@dataclass(slots=True)
+class WitnessDesk:
+    """What one witness has promised, and to whom it consented.
+
+    It forgets all at a restart, so it consents to nothing until every
+    promise of an earlier instance has run out.
+    """
+
+    longest_promise: timedelta
+    started_at: timedelta
+    end_by_holder: dict[str, timedelta] = field(default_factory=dict)
+    reclaimed: set[str] = field(default_factory=set)
+    waits_after_start: bool = True
+
+    def promise(
+        self,
+        holder: str,
+        duration: timedelta,
+        now: timedelta,
+    ) -> bool:
+        """Promise no consent for a while, unless consent was given."""
+        if holder in self.reclaimed or duration > self.longest_promise:
+            return False
+        self.end_by_holder[holder] = now + duration
+        return True
+
+    def consent(self, holder: str, now: timedelta) -> bool:
+        """Consent to a reclaim once no promise can be running."""
+        settled = now - self.started_at >= self.longest_promise
+        if self.waits_after_start and not settled:
+            return False
+        if self.end_by_holder.get(holder, timedelta()) > now:
+            return False
+        self.reclaimed.add(holder)
+        self.end_by_holder.pop(holder, None)
+        return True
--- /dev/null
+++ b/libs/agent/src/verbenamux_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The program beside each target."""
--- /dev/null
+++ b/libs/agent/src/verbenamux_agent/agent.py
@@ -0,0 +1,255 @@
+"""One agent: its parts, and which message goes to which of them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+import gevent
+from verbenamux_config.entities import TargetKind
+from verbenamux_config.state import (
+    Configuration,
+    SnapshotDecodeError,
+    decode_snapshot,
+    view_for_target,
+)
+from verbenamux_contracts import messages as msg
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.errors import ErrorCode
+from verbenamux_contracts.ids import InstanceId, new_attempt_id
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.peers import PeerLink, PeerServer
+
+from verbenamux_agent.holdings import Holdings
+from verbenamux_agent.prefixes import PrefixFollower
+from verbenamux_agent.settings import AgentSettings
+from verbenamux_agent.subscribers import SubscriberTable
+from verbenamux_agent.witness import Witness
+from verbenamux_agent.worklist import WorkList
+
+KEEP_TIMEOUT = timedelta(seconds=1)
+
+
+@dataclass(slots=True)
+class Agent:
+    """The only sender of orders and work to its target."""
+
+    settings: AgentSettings
+    instance: InstanceId
+    clock: Clock
+    log: DecisionLog
+    work: WorkList
+    holdings: Holdings
+    prefixes: PrefixFollower
+    witness: Witness
+    subscribers: SubscriberTable
+    server: PeerServer
+    configuration: Configuration = field(default_factory=Configuration)
+    link_by_address: dict[str, PeerLink] = field(default_factory=dict)
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether the target is a model engine."""
+        return self.settings.target.kind is TargetKind.ENGINE
+
+    def heartbeat(self, gateway: bytes) -> msg.Heartbeat:
+        """Return the report that one gateway gets now."""
+        report = self.holdings.report
+        ledger = self.holdings.ledger
+        return msg.Heartbeat(
+            target=self.settings.name,
+            instance=self.instance,
+            version=self.configuration.version,
+            leaving=self.work.leaving,
+            resident=tuple(
+                msg.ResidentModel(row.name, row.version)
+                for row in self.holdings.versions_ready()
+            ),
+            adapters=self.holdings.adapters_ready(),
+            slots=self.work.pace.slots,
+            running=self.work.running,
+            queued_tokens=self.work.queued_tokens + self.work.running_tokens,
+            free_mb=0 if ledger is None else ledger.free_mb,
+            prefill_tokens_per_second=(
+                0 if report is None else report.prefill_tokens_per_second
+            ),
+            decode_ms=self.work.pace.decode_ms,
+            sent=self.subscribers.dispatches_by_gateway[gateway],
+            prefixes=tuple(self.prefixes.recent),
+            prefixes_trusted=self.prefixes.trusted,
+        )
+
+    def publish(self) -> None:
+        """Send heartbeats to all gateways that follow this target."""
+        self.subscribers.publish(self.heartbeat)
+
+    def watch_target(self) -> None:
+        """Read the target's report and take over its pace."""
+        if not self.is_engine:
+            return
+        self.holdings.read_report()
+        report = self.holdings.report
+        if report is not None:
+            self.work.pace.slots = report.slots
+            self.work.pace.decode_ms = report.decode_ms
+        self.prefixes.poll()
+
+    def keep_house(self) -> None:
+        """Drop old answers and stop orphans."""
+        self.work.table.forget_old(self.clock.elapsed())
+        self.work.cancel_orphans()
+
+    def prepare(self, dispatch: msg.Dispatch) -> msg.Refused | None:
+        """Make an attempt's adapter ready, or say why it cannot run."""
+        if not dispatch.adapter:
+            return None
+        deadline = self.clock.elapsed() + timedelta(
+            milliseconds=dispatch.budget_ms,
+        )
+        ready = self.holdings.ensure_adapter(
+            dispatch.adapter,
+            deadline,
+            self.adapters_in_use,
+        )
+        if ready:
+            return None
+        return msg.Refused(
+            dispatch.attempt_id,
+            ErrorCode.NO_TARGET.value,
+            f'adapter {dispatch.adapter} could not be loaded',
+        )
+
+    def adapters_in_use(self) -> set[str]:
+        """Return the adapters that unfinished attempts need."""
+        return {
+            attempt.dispatch.adapter for attempt in self.work.table.unfinished()
+        }
+
+    def handle(self, gateway: bytes, message: msg.AnyMessage) -> None:
+        """Pass one message on; kinds that agents do not take are noted."""
+        handler = HANDLER_BY_MESSAGE.get(type(message))
+        if handler is None:
+            self.log.write('unexpected', kind=type(message).__name__)
+            return
+        handler(self, gateway, message)
+
+    def leave(self) -> None:
+        """Take no new work and tell every gateway at once."""
+        self.work.leaving = True
+        self.publish()
+
+
+def _on_hello(agent: Agent, gateway: bytes, hello: msg.Hello) -> None:
+    agent.subscribers.greet(gateway, hello)
+    if hello.version > agent.configuration.version:
+        ask = msg.ConfigurationAsk(
+            agent.configuration.version,
+            agent.settings.name,
+        )
+        agent.server.send(gateway, ask)
+
+
+def _on_configuration(
+    agent: Agent,
+    gateway: bytes,
+    reply: msg.ConfigurationReply,
+) -> None:
+    try:
+        configuration = decode_snapshot(reply.snapshot)
+    except SnapshotDecodeError as error:
+        agent.log.write('bad_snapshot', cause=str(error))
+        return
+    if configuration.version <= agent.configuration.version:
+        return
+    view = view_for_target(configuration, agent.settings.name)
+    agent.configuration = view
+    agent.holdings.configuration = view
+    agent.log.write(
+        'configuration',
+        version=view.version,
+        digest=view.digest,
+    )
+
+
+def _on_dispatch(agent: Agent, gateway: bytes, message: msg.Dispatch) -> None:
+    agent.subscribers.dispatches_by_gateway[gateway] += 1
+    agent.work.dispatch(gateway, message)
+
+
+def _on_resume(agent: Agent, gateway: bytes, message: msg.Resume) -> None:
+    agent.work.resume(gateway, message)
+
+
+def _on_cancel(agent: Agent, gateway: bytes, message: msg.Cancel) -> None:
+    agent.work.cancel(gateway, message)
+
+
+def _on_place(agent: Agent, gateway: bytes, message: msg.PlaceModel) -> None:
+    agent.holdings.place(message.model, message.version)
+
+
+def _on_drop(agent: Agent, gateway: bytes, message: msg.DropModel) -> None:
+    gevent.spawn(
+        agent.holdings.drop,
+        message.model,
+        message.version,
+        message.holders,
+        lambda holder, model: _ask_to_keep(agent, holder, model),
+        lambda model: _is_idle(agent, model),
+    )
+
+
+def _on_keep_ask(agent: Agent, sender: bytes, message: msg.KeepAsk) -> None:
+    granted = agent.holdings.agree_to_keep(message.model)
+    reply = msg.KeepReply(message.ask_id, message.model, granted)
+    agent.server.send(sender, reply)
+
+
+def _on_lease(agent: Agent, holder: bytes, message: msg.LeaseAsk) -> None:
+    agent.server.send(holder, agent.witness.promise(message))
+
+
+def _on_consent(agent: Agent, sender: bytes, message: msg.ConsentAsk) -> None:
+    agent.server.send(sender, agent.witness.consent(message))
+
+
+def _on_drain(agent: Agent, sender: bytes, message: msg.Drain) -> None:
+    agent.leave()
+
+
+def _ask_to_keep(agent: Agent, address: str, model: str) -> bool:
+    link = agent.link_by_address.get(address)
+    if link is None:
+        link = PeerLink(address, agent.instance, _drop_message)
+        agent.link_by_address[address] = link
+        gevent.sleep(KEEP_TIMEOUT.total_seconds() / 4)
+    ask_id = new_attempt_id()
+    ask = msg.KeepAsk(ask_id, agent.settings.name, model)
+    reply = link.ask(ask_id, ask, KEEP_TIMEOUT)
+    return isinstance(reply, msg.KeepReply) and reply.granted
+
+
+def _is_idle(agent: Agent, model: str) -> bool:
+    return not any(
+        attempt.dispatch.model == model
+        for attempt in agent.work.table.unfinished()
+    )
+
+
+def _drop_message(message: msg.AnyMessage) -> None:
+    """Ignore answers that come after their question was given up."""
+
+
+HANDLER_BY_MESSAGE: dict[type, Callable[[Agent, bytes, Any], None]] = {
+    msg.Hello: _on_hello,
+    msg.ConfigurationReply: _on_configuration,
+    msg.Dispatch: _on_dispatch,
+    msg.Resume: _on_resume,
+    msg.Cancel: _on_cancel,
+    msg.PlaceModel: _on_place,
+    msg.DropModel: _on_drop,
+    msg.KeepAsk: _on_keep_ask,
+    msg.LeaseAsk: _on_lease,
+    msg.ConsentAsk: _on_consent,
+    msg.Drain: _on_drain,
+}
--- /dev/null
+++ b/libs/agent/src/verbenamux_agent/target.py
@@ -0,0 +1,207 @@
+"""HTTP client of the target beside the agent."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import (
+    HTTPConnectionClosed,
+    HTTPParseError,
+    HTTPSocketPoolResponse,
+)
+from returns.result import Failure, Result, Success
+from verbenamux_contracts.errors import Run
+
+OK = 200
+ACCEPTED = 202
+NOT_FOUND = 404
+CONFLICT = 409
+CONNECT_TIMEOUT = timedelta(seconds=2)
+SILENCE_TIMEOUT = timedelta(seconds=60)
+PIECE_BYTES = 65536
+FRAME_END = b'\n\n'
+NETWORK_ERRORS = (OSError, HTTPConnectionClosed, HTTPParseError)
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+
+class ReportedResident(msgspec.Struct, frozen=True):
+    """One row of an engine's memory report."""
+
+    name: str
+    version: str
+    memory_mb: int
+    state: str
+    adapter: bool = False
+
+
+class EngineReport(msgspec.Struct, frozen=True):
+    """An engine's lagging report of itself."""
+
+    residents: tuple[ReportedResident, ...]
+    capacity_mb: int
+    slots: int
+    prefill_tokens_per_second: int
+    decode_ms: int
+    running: int
+
+
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """How an engine took an order: `done` or `began`."""
+
+    state: str = 'began'
+
+
+class CancelAnswer(msgspec.Struct, frozen=True):
+    """What an engine says of an attempt it gave up."""
+
+    run: str
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One change of an engine's prefix cache."""
+
+    sequence: int
+    block: int
+    stored: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailure:
+    """A call to the target that failed.
+
+    The run tells whether the target may have acted on it; the status is
+    zero where no answer came.
+    """
+
+    message: str
+    run: Run
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call to the target; `once` forbids sending it again."""
+
+    method: str
+    path: str
+    body: bytes = b''
+    headers: HeaderPairs = ()
+    once: bool = False
+
+
+class TargetClient:
+    """Speaks HTTP to one target over a few pooled connections."""
+
+    def __init__(self, address: str, connections: int) -> None:
+        """Prepare the pool; nothing is sent yet."""
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._client = HTTPClient(
+            self._host,
+            self._port,
+            connection_timeout=CONNECT_TIMEOUT.total_seconds(),
+            network_timeout=SILENCE_TIMEOUT.total_seconds(),
+            concurrency=connections,
+        )
+
+    def open(self, call: Call) -> Result[Any, TargetFailure]:
+        """Send a call and return its response, whose body is unread.
+
+        A refused connection proves that nothing ran.
+        """
+        try:
+            response = self._send(call)
+        except ConnectionRefusedError as error:
+            return Failure(TargetFailure(repr(error), Run.NOT_RUN))
+        except NETWORK_ERRORS as error:
+            return Failure(TargetFailure(repr(error), Run.UNKNOWN))
+        return Success(response)
+
+    def _send(self, call: Call) -> Any:
+        if call.once:
+            return self._send_once(call)
+        return self._client.request(
+            call.method,
+            call.path,
+            call.body,
+            dict(call.headers),
+        )
+
+    def _send_once(self, call: Call) -> Any:
+        """Send over a connection of its own, without the pool's retries."""
+        pool = ConnectionPool(
+            self._host,
+            self._port,
+            self._host,
+            self._port,
+            size=1,
+            connection_timeout=CONNECT_TIMEOUT.total_seconds(),
+            network_timeout=SILENCE_TIMEOUT.total_seconds(),
+        )
+        connection = pool.get_socket()
+        connection.sendall(self._encode(call))
+        return HTTPSocketPoolResponse(connection, pool, method=call.method)
+
+    def _encode(self, call: Call) -> bytes:
+        lines = [f'{call.method} {call.path} HTTP/1.1']
+        lines.extend(f'{name}: {text}' for name, text in call.headers)
+        lines.append(f'host: {self._host}:{self._port}')
+        lines.append(f'content-length: {len(call.body)}')
+        lines.append('connection: close')
+        head = '\r\n'.join(lines)
+        return f'{head}\r\n\r\n'.encode('latin-1') + call.body
+
+    def exchange(self, call: Call) -> Result[bytes, TargetFailure]:
+        """Send a call and return the whole body of a good answer."""
+        return self.open(call).bind(_read_whole)
+
+
+def read_frames(response: Any) -> Iterator[bytes]:
+    """Yield the payload of each server-sent event.
+
+    Raises one of NETWORK_ERRORS when the connection breaks.
+    """
+    while True:
+        frame = bytes(response.readline(FRAME_END))
+        if not frame:
+            return
+        _, _, payload = frame.rstrip(b'\n').partition(b'data: ')
+        yield payload
+
+
+def read_pieces(response: Any) -> Iterator[bytes]:
+    """Yield the body of a plain answer in pieces."""
+    while piece := response.read(PIECE_BYTES):
+        yield bytes(piece)
+
+
+def response_headers(
+    response: Any,
+    wanted: Iterable[str],
+) -> HeaderPairs:
+    """Return the wanted headers that a response has."""
+    return tuple(
+        (name, response.get(name)) for name in wanted if response.get(name)
+    )
+
+
+def _read_whole(response: Any) -> Result[bytes, TargetFailure]:
+    try:
+        body = bytes(response.read())
+    except NETWORK_ERRORS as error:
+        return Failure(TargetFailure(repr(error), Run.UNKNOWN))
+    if response.status_code in {OK, ACCEPTED}:
+        return Success(body)
+    return Failure(
+        TargetFailure(
+            f'status {response.status_code}',
+            Run.NOT_RUN,
+            response.status_code,
+        ),
+    )
--- /dev/null
+++ b/libs/config/src/verbenamux_config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: operations, fold, snapshots, keys."""
--- /dev/null
+++ b/libs/contracts/src/verbenamux_contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, typed errors, identifiers and the clock."""
--- /dev/null
+++ b/libs/contracts/src/verbenamux_contracts/clock.py
@@ -0,0 +1,71 @@
+"""The clock, passed to everything that reads time or waits."""
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+import gevent
+
+
+class Clock(Protocol):
+    """What the system needs of time."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC, for people to read."""
+
+    def elapsed(self) -> timedelta:
+        """Return monotonic time since an arbitrary start."""
+
+    def sleep(self, duration: timedelta) -> None:
+        """Let other greenlets run for the duration."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+        return datetime.now(UTC)
+
+    def elapsed(self) -> timedelta:
+        """Return the monotonic time of this host."""
+        return timedelta(seconds=time.monotonic())
+
+    def sleep(self, duration: timedelta) -> None:
+        """Yield to the event loop for the duration."""
+        gevent.sleep(duration.total_seconds())
+
+
+class ManualClock:
+    """A clock for tests, moved on by hand; sleeping moves it on."""
+
+    def __init__(self) -> None:
+        """Start at a fixed moment."""
+        self._start = datetime(2026, 1, 1, tzinfo=UTC)
+        self._elapsed = timedelta()
+
+    def now(self) -> datetime:
+        """Return the start plus all that was advanced."""
+        return self._start + self._elapsed
+
+    def elapsed(self) -> timedelta:
+        """Return all that was advanced."""
+        return self._elapsed
+
+    def sleep(self, duration: timedelta) -> None:
+        """Advance by the duration instead of waiting."""
+        self.advance(duration)
+
+    def advance(self, duration: timedelta) -> None:
+        """Move time on by the duration."""
+        self._elapsed += duration
+
+
+def milliseconds(count: float) -> timedelta:
+    """Return a duration of that many milliseconds."""
+    return timedelta(milliseconds=count)
+
+
+def to_milliseconds(duration: timedelta) -> int:
+    """Return a duration in whole milliseconds, rounded down."""
+    return duration // timedelta(milliseconds=1)
--- /dev/null
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -0,0 +1,343 @@
+"""Messages between the system's own processes, encoded by msgspec."""
+
+from typing import TypeAlias
+
+import msgspec
+
+from verbenamux_contracts.ids import AttemptId, InstanceId, RequestId
+
+
+class Message(msgspec.Struct, tag=True, frozen=True, omit_defaults=True):
+    """Base of everything sent between processes."""
+
+
+class Hello(Message, frozen=True):
+    """A gateway presents itself to a peer and asks for heartbeats.
+
+    `holder` is the name under which it holds rate units now. `asked_ms`
+    is the asker's own clock, which a reply repeats, so that the asker
+    knows how old the reply may be.
+    """
+
+    sender: str
+    instance: InstanceId
+    version: int
+    digest: str
+    holder: str = ''
+    data_centre: str = ''
+    withdrawn: int = 0
+    reply_wanted: bool = False
+    asked_ms: int = 0
+    leaving: bool = False
+
+
+class ResidentModel(msgspec.Struct, frozen=True, array_like=True):
+    """One model that a target holds ready."""
+
+    name: str
+    version: str
+
+
+class Heartbeat(Message, frozen=True):
+    """An agent's report of its target.
+
+    Durations are milliseconds, memory is MB. `sent` counts the attempts
+    that this agent had taken from the receiving gateway at the time.
+    """
+
+    target: str
+    instance: InstanceId
+    version: int
+    leaving: bool = False
+    resident: tuple[ResidentModel, ...] = ()
+    adapters: tuple[str, ...] = ()
+    slots: int = 0
+    running: int = 0
+    queued_tokens: int = 0
+    free_mb: int = 0
+    prefill_tokens_per_second: int = 0
+    decode_ms: int = 0
+    sent: int = 0
+    prefixes: tuple[int, ...] = ()
+    prefixes_trusted: bool = True
+
+
+class Dispatch(Message, frozen=True):
+    """A gateway hands one attempt to an agent.
+
+    `budget_ms` is what is left of the deadline when the message leaves.
+    `emitted` numbers the chunks the caller already has: a continuation
+    starts with that chunk.
+    """
+
+    attempt_id: AttemptId
+    request_id: RequestId
+    workspace: str
+    target_path: str
+    budget_ms: int
+    model: str = ''
+    adapter: str = ''
+    method: str = 'POST'
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    tokens: int = 1
+    prompt_tokens: int = 0
+    priority: int = 0
+    weight: int = 1
+    idempotent: bool = True
+    emitted: int = 0
+
+
+class Resume(Message, frozen=True):
+    """A gateway asks for an attempt's answer from a chunk number on."""
+
+    attempt_id: AttemptId
+    from_chunk: int
+    budget_ms: int
+
+
+class Cancel(Message, frozen=True):
+    """A gateway gives an attempt up; the agent leaves a tombstone."""
+
+    attempt_id: AttemptId
+
+
+class Accepted(Message, frozen=True):
+    """The agent has queued the attempt."""
+
+    attempt_id: AttemptId
+
+
+class Refused(Message, frozen=True):
+    """The agent has not run the attempt and never will."""
+
+    attempt_id: AttemptId
+    code: str
+    message: str
+    retry_after_ms: int = 1000
+
+
+class Started(Message, frozen=True):
+    """The target has answered with a status and headers."""
+
+    attempt_id: AttemptId
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Chunk(Message, frozen=True):
+    """One numbered piece of the answer."""
+
+    attempt_id: AttemptId
+    index: int
+    body: bytes
+
+
+class End(Message, frozen=True):
+    """The answer is whole and has `count` chunks."""
+
+    attempt_id: AttemptId
+    count: int
+    tokens: int = 0
+
+
+class Broken(Message, frozen=True):
+    """The attempt failed after it was accepted."""
+
+    attempt_id: AttemptId
+    run: str
+    code: str
+    message: str
+    retry_after_ms: int = 1000
+
+
+class Cancelled(Message, frozen=True):
+    """The agent confirms a cancel and says whether the attempt ran."""
+
+    attempt_id: AttemptId
+    run: str
+
+
+class ConfigurationAsk(Message, frozen=True):
+    """A process that is behind asks for a newer configuration.
+
+    With a target's name, only what its agent needs is wanted.
+    """
+
+    version: int
+    target: str = ''
+
+
+class ConfigurationReply(Message, frozen=True):
+    """A whole configuration, as a snapshot."""
+
+    snapshot: bytes
+
+
+class Withdrawal(Message, frozen=True):
+    """Key hashes that no longer open anything, in any order."""
+
+    key_hashes: tuple[str, ...]
+
+
+class WithdrawalDone(Message, frozen=True):
+    """The receiver refuses the keys from now on."""
+
+    sender: str
+    count: int
+
+
+class TokensAsk(Message, frozen=True):
+    """A gateway asks a peer for tokens of a workspace.
+
+    It needs `tokens` and can use up to `at_most`.
+    """
+
+    ask_id: str
+    sender: str
+    workspace: str
+    tokens: int
+    at_most: int
+
+
+class TokensGrant(Message, frozen=True):
+    """The giver has already debited these tokens."""
+
+    ask_id: str
+    workspace: str
+    tokens: int
+
+
+class LeaseAsk(Message, frozen=True):
+    """A holder of rate units asks a witness for a promise."""
+
+    ask_id: str
+    holder: InstanceId
+    duration_ms: int
+
+
+class LeasePromise(Message, frozen=True):
+    """The witness consents to no reclaim of the holder until then."""
+
+    ask_id: str
+    witness: str
+    instance: InstanceId
+    granted: bool
+
+
+class ConsentAsk(Message, frozen=True):
+    """A gateway asks a witness to let it reclaim a dead holder."""
+
+    ask_id: str
+    holder: InstanceId
+
+
+class Consent(Message, frozen=True):
+    """The witness promises the holder nothing more, if granted."""
+
+    ask_id: str
+    witness: str
+    instance: InstanceId
+    granted: bool
+
+
+class DemandReport(Message, frozen=True):
+    """A gateway tells the planner what it saw; tokens a second."""
+
+    sender: str
+    tokens_by_model: dict[str, float]
+
+
+class PlaceModel(Message, frozen=True):
+    """The planner asks an agent to hold a model."""
+
+    model: str
+    version: str
+
+
+class DropModel(Message, frozen=True):
+    """The planner asks an agent to give a copy up, if another agrees.
+
+    `holders` are the addresses of agents that are believed to hold the
+    model too.
+    """
+
+    model: str
+    version: str
+    holders: tuple[str, ...] = ()
+
+
+class KeepAsk(Message, frozen=True):
+    """An agent asks another to go on holding a model."""
+
+    ask_id: str
+    sender: str
+    model: str
+
+
+class KeepReply(Message, frozen=True):
+    """Whether the asked agent holds the model and does not drop it."""
+
+    ask_id: str
+    model: str
+    granted: bool
+
+
+class Drain(Message, frozen=True):
+    """An operator or the host list marks a process as leaving."""
+
+    target: str
+
+
+AnyMessage: TypeAlias = (
+    Hello
+    | Heartbeat
+    | Dispatch
+    | Resume
+    | Cancel
+    | Accepted
+    | Refused
+    | Started
+    | Chunk
+    | End
+    | Broken
+    | Cancelled
+    | ConfigurationAsk
+    | ConfigurationReply
+    | Withdrawal
+    | WithdrawalDone
+    | TokensAsk
+    | TokensGrant
+    | LeaseAsk
+    | LeasePromise
+    | ConsentAsk
+    | Consent
+    | DemandReport
+    | PlaceModel
+    | DropModel
+    | KeepAsk
+    | KeepReply
+    | Drain
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
+    AnyMessage,
+)
+
+
+class MessageDecodeError(Exception):
+    """Bytes from a peer that are no message of ours."""
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the message as msgpack bytes."""
+    return _encoder.encode(message)
+
+
+def decode_message(frame: bytes) -> AnyMessage:
+    """Return the message in the bytes, or raise MessageDecodeError."""
+    try:
+        return _decoder.decode(frame)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise MessageDecodeError(str(error)) from error
--- /dev/null
+++ b/libs/ctl/src/verbenamux_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/libs/ctl/src/verbenamux_ctl/cli.py
@@ -0,0 +1,257 @@
+"""The operator's command line."""
+
+import secrets
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+from returns.pipeline import is_successful
+from verbenamux_config.access import hash_key
+from verbenamux_config.entities import Key
+from verbenamux_config.fold import encode_record
+from verbenamux_config.operations import (
+    AnyOperation,
+    GrantKey,
+    KeyWithdrawal,
+)
+from verbenamux_config.state import Configuration
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_platform.configuration_log import (
+    CONFIGURATION_STREAM,
+    read_configuration,
+)
+from verbenamux_platform.http import parse_endpoint
+from verbenamux_platform.log import LogClient
+from verbenamux_runtime.program import print_version
+
+from verbenamux_ctl import explaining, gateways, patching
+from verbenamux_ctl.failures import CommandError, CommandFailure, exit_with
+
+KEY_BYTES = 24
+IN_FORCE_SECONDS = 10.0
+
+app = typer.Typer(
+    help='Operate verbenamux: patches, keys, drains and explanations.',
+    no_args_is_help=True,
+)
+keys = typer.Typer(help='Grant and withdraw keys.', no_args_is_help=True)
+app.add_typer(keys, name='keys')
+
+LogAddress = Annotated[
+    str,
+    typer.Option('--log', envvar='VERBENAMUX_LOG', help='ip:port of the log'),
+]
+Gateways = Annotated[
+    list[str] | None,
+    typer.Option('--gateway', help='ip:port of a gateway; may be repeated'),
+]
+
+
+@app.callback()
+def root(
+    version: Annotated[
+        bool,
+        typer.Option('--version', callback=print_version, is_eager=True),
+    ] = False,
+) -> None:
+    """Operate verbenamux: patches, keys, drains and explanations."""
+
+
+@app.command()
+def validate(file: Path) -> None:
+    """Check a patch file without sending it.
+
+    Example: verbenamuxctl validate patch.json
+    """
+    _operations(file)
+    typer.echo('the patch is well formed')
+
+
+@app.command()
+def patch(
+    file: Path,
+    base: Annotated[int, typer.Option(help='version the patch is made for')],
+    log: LogAddress,
+) -> None:
+    """Apply a patch to the configuration with that version.
+
+    Example: verbenamuxctl patch --log 10.0.0.5:7000 --base 12 patch.json
+    """
+    _submit(log, base, _operations(file))
+
+
+@app.command()
+def show(log: LogAddress) -> None:
+    """Print the configuration in force, as JSON."""
+    typer.echo(
+        msgspec.json.format(
+            msgspec.json.encode(_read(log), order='deterministic'),
+        ).decode(),
+    )
+
+
+@app.command()
+def schema() -> None:
+    """Print the JSON schema of a patch file."""
+    described = msgspec.json.schema(tuple[AnyOperation, ...])
+    typer.echo(msgspec.json.format(msgspec.json.encode(described)).decode())
+
+
+@app.command()
+def status(gateway: Gateways = None) -> None:
+    """Print what gateways say of themselves, a line each."""
+    for address in gateway or []:
+        told = gateways.read_status(address)
+        line = {'gateway': address, 'status': told}
+        typer.echo(msgspec.json.encode(line).decode())
+
+
+@app.command()
+def wait(
+    version: int,
+    gateway: Gateways = None,
+    seconds: float = IN_FORCE_SECONDS,
+) -> None:
+    """Wait until a version is in force at gateways.
+
+    Example: verbenamuxctl wait 13 --gateway 10.0.0.1:8080
+    """
+    late = gateways.wait_in_force(
+        gateway or [],
+        version,
+        SystemClock(),
+        timedelta(seconds=seconds),
+    )
+    if late:
+        raise exit_with(
+            CommandFailure(
+                CommandError.NOT_IN_FORCE,
+                f'version {version} is not in force at {", ".join(late)}',
+            ),
+        )
+    typer.echo(f'version {version} is in force')
+
+
+@app.command()
+def drain(target: str, agent: str) -> None:
+    """Tell the agent of a target, at ip:port, to take no new work."""
+    if not gateways.drain_agent(agent, target):
+        raise exit_with(
+            CommandFailure(
+                CommandError.NOT_CONFIRMED,
+                f'the agent at {agent} was not reached',
+            ),
+        )
+    typer.echo(f'{target} is draining')
+
+
+@app.command()
+def explain(request_id: str, file: Path) -> None:
+    """Tell from a gateway's log file why a request went where it did.
+
+    Example: verbenamuxctl explain req-0123 gateway.log
+    """
+    sentences = list(
+        explaining.explain(explaining.read_lines(file, request_id)),
+    )
+    if not sentences:
+        raise exit_with(
+            CommandFailure(
+                CommandError.NOT_FOUND,
+                f'{file} tells nothing of {request_id}',
+            ),
+        )
+    for sentence in sentences:
+        typer.echo(sentence)
+
+
+@keys.command()
+def grant(
+    workspace: str,
+    base: Annotated[int, typer.Option(help='version the patch is made for')],
+    log: LogAddress,
+    label: str = '',
+) -> None:
+    """Make a new key for a workspace and print it, this once only."""
+    key = f'vk-{secrets.token_urlsafe(KEY_BYTES)}'
+    operation = GrantKey(Key(hash_key(key), workspace, label))
+    _submit(log, base, (operation,))
+    typer.echo(key)
+
+
+@keys.command()
+def withdraw(
+    key_hash: Annotated[list[str], typer.Argument(help='SHA-256 in hex')],
+    log: LogAddress,
+    peer: Annotated[
+        list[str] | None,
+        typer.Option('--peer', help='peer address of a gateway'),
+    ] = None,
+) -> None:
+    """Withdraw keys for good, at gateways directly and through the log.
+
+    It succeeds when the log has the withdrawal, or every named gateway
+    has confirmed it.
+    """
+    withdrawal = KeyWithdrawal(tuple(key_hash))
+    unconfirmed = gateways.withdraw_directly(peer or [], tuple(key_hash))
+    appended = _client(log).append(
+        CONFIGURATION_STREAM,
+        encode_record(withdrawal),
+    )
+    logged = is_successful(appended)
+    for address in unconfirmed:
+        typer.echo(f'not confirmed by {address}', err=True)
+    if not logged and (unconfirmed or not peer):
+        raise exit_with(
+            CommandFailure(
+                CommandError.NOT_CONFIRMED,
+                'neither the log nor every gateway took the withdrawal',
+            ),
+        )
+    typer.echo('withdrawn')
+
+
+def main() -> None:
+    """Run the console script."""
+    app()
+
+
+def _operations(file: Path) -> tuple[AnyOperation, ...]:
+    read = patching.read_operations(file)
+    if not is_successful(read):
+        raise exit_with(read.failure())
+    return read.unwrap()
+
+
+def _submit(
+    log: str,
+    base: int,
+    operations: tuple[AnyOperation, ...],
+) -> None:
+    outcome = patching.submit(
+        _client(log),
+        patching.new_patch(base, operations),
+        SystemClock(),
+    )
+    if not is_successful(outcome):
+        raise exit_with(outcome.failure())
+    typer.echo(f'version {outcome.unwrap().version}', err=True)
+
+
+def _read(log: str) -> Configuration:
+    found = read_configuration(_client(log))
+    if not is_successful(found):
+        raise exit_with(
+            CommandFailure(
+                CommandError.LOG_UNAVAILABLE,
+                found.failure().message,
+            ),
+        )
+    return found.unwrap()
+
+
+def _client(log: str) -> LogClient:
+    return LogClient(parse_endpoint(log))
--- /dev/null
+++ b/libs/ctl/src/verbenamux_ctl/gateways.py
@@ -0,0 +1,118 @@
+"""Talking to gateways: status over HTTP, withdrawals and drains by message."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.event import Event
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import new_instance_id
+from verbenamux_contracts.messages import (
+    AnyMessage,
+    Drain,
+    Message,
+    Withdrawal,
+    WithdrawalDone,
+)
+from verbenamux_platform.http import open_client, parse_endpoint
+from verbenamux_runtime.peers import PeerLink
+
+HTTP_TIMEOUT = timedelta(seconds=2)
+CONFIRM_TIMEOUT = timedelta(seconds=3)
+SEND_AGAIN = timedelta(milliseconds=100)
+POLL = timedelta(milliseconds=100)
+
+
+def read_status(address: str) -> dict[str, Any] | None:
+    """Return what a gateway says of itself, or None."""
+    client = open_client(parse_endpoint(address), HTTP_TIMEOUT)
+    try:
+        response = client.get('/readyz')
+        body = bytes(response.read())
+    except OSError:
+        return None
+    finally:
+        client.close()
+    status: dict[str, Any] = msgspec.json.decode(body)
+    return status
+
+
+def wait_in_force(
+    addresses: Iterable[str],
+    version: int,
+    clock: Clock,
+    time_most: timedelta,
+) -> list[str]:
+    """Return the gateways that do not reach a version in time."""
+    waiting = list(addresses)
+    deadline = clock.elapsed() + time_most
+    while waiting and clock.elapsed() < deadline:
+        waiting = [
+            address for address in waiting if not _has_version(address, version)
+        ]
+        if waiting:
+            clock.sleep(POLL)
+    return waiting
+
+
+def withdraw_directly(
+    addresses: Iterable[str],
+    key_hashes: tuple[str, ...],
+) -> list[str]:
+    """Send a withdrawal to gateways; return those that did not confirm."""
+    asked = list(addresses)
+    jobs = [
+        gevent.spawn(_withdraw_at, address, key_hashes) for address in asked
+    ]
+    gevent.joinall(jobs)
+    return [
+        address
+        for address, job in zip(asked, jobs, strict=True)
+        if not job.value
+    ]
+
+
+def drain_agent(address: str, target: str) -> bool:
+    """Tell an agent to take no new work; False when it is not reached."""
+    link = _open_link(address, Event())
+    try:
+        return _send_until_connected(link, Drain(target))
+    finally:
+        gevent.sleep(SEND_AGAIN.total_seconds())
+        link.close()
+
+
+def _has_version(address: str, version: int) -> bool:
+    status = read_status(address)
+    return status is not None and status['version'] >= version
+
+
+def _withdraw_at(address: str, key_hashes: tuple[str, ...]) -> bool:
+    confirmed = Event()
+    link = _open_link(address, confirmed)
+    try:
+        if not _send_until_connected(link, Withdrawal(key_hashes)):
+            return False
+        return bool(confirmed.wait(CONFIRM_TIMEOUT.total_seconds()))
+    finally:
+        link.close()
+
+
+def _open_link(address: str, confirmed: Event) -> PeerLink:
+    def receive(message: AnyMessage) -> None:
+        if isinstance(message, WithdrawalDone):
+            confirmed.set()
+
+    return PeerLink(address, new_instance_id('ctl'), receive)
+
+
+def _send_until_connected(link: PeerLink, message: Message) -> bool:
+    left = CONFIRM_TIMEOUT
+    while left > timedelta():
+        if link.send(message):
+            return True
+        gevent.sleep(SEND_AGAIN.total_seconds())
+        left -= SEND_AGAIN
+    return False
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host program."""
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/border.py
@@ -0,0 +1,273 @@
+"""Reading a caller's HTTP request, with a typed failure for bad input."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+from urllib.parse import unquote
+
+import gevent
+import msgspec
+from returns.result import Failure, Result, Success
+from verbenamux_config.access import hash_key
+from verbenamux_contracts.errors import ErrorCode, RequestFailure
+
+BEARER = 'bearer '
+HEADER_PREFIX = 'HTTP_'
+HEADER_LENGTH_MOST = 8192
+DEADLINE_MOST_MS = 3_600_000
+PRIORITY_MOST = 100
+IDEMPOTENCY_KEY_MOST = 255
+HOP_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'cookie',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-authenticate',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-api-key',
+        'x-request-id',
+    )
+)
+OWN_PREFIX = 'verbenamux-'
+
+Environ = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What a caller said about how its request is to be treated."""
+
+    idempotent: bool | None
+    idempotency_key: str
+    deadline: timedelta | None
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request whose framing is sound.
+
+    The key itself is kept only to make sure that it travels no further.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str
+    options: Options
+
+    @property
+    def key_hash(self) -> str:
+        """The hash under which the key is declared."""
+        return hash_key(self.key)
+
+
+def read_incoming(
+    environ: Environ,
+    body_most: int,
+    body_time: timedelta,
+) -> Result[Incoming, RequestFailure]:
+    """Read a request's headers and its whole body."""
+    options = _read_options(environ)
+    if isinstance(options, RequestFailure):
+        return Failure(options)
+    headers = _read_headers(environ)
+    if isinstance(headers, RequestFailure):
+        return Failure(headers)
+    body = _read_body(environ, body_most, body_time)
+    if isinstance(body, RequestFailure):
+        return Failure(body)
+    incoming = Incoming(
+        environ['REQUEST_METHOD'],
+        environ['PATH_INFO'],
+        environ.get('QUERY_STRING', ''),
+        headers,
+        body,
+        _read_key(environ),
+        options,
+    )
+    return _check_key_stays(incoming)
+
+
+def decode_json(
+    body: bytes,
+    expected: type[msgspec.Struct],
+) -> Result[Any, RequestFailure]:
+    """Return a JSON body checked against a type."""
+    try:
+        return Success(msgspec.json.decode(body, type=expected))
+    except msgspec.ValidationError as error:
+        return Failure(_bad(ErrorCode.INVALID_FIELD, str(error)))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        code = ErrorCode.INVALID_JSON
+        if not _is_utf8(body):
+            code = ErrorCode.INVALID_ENCODING
+        return Failure(_bad(code, str(error)))
+
+
+def _read_key(environ: Environ) -> str:
+    header = environ.get('HTTP_AUTHORIZATION', '')
+    if header[: len(BEARER)].lower() != BEARER:
+        return ''
+    return header[len(BEARER) :].strip()
+
+
+def _read_options(environ: Environ) -> Options | RequestFailure:
+    idempotent = environ.get('HTTP_VERBENAMUX_IDEMPOTENT', '').lower()
+    if idempotent not in {'', 'true', 'false'}:
+        return _bad(
+            ErrorCode.INVALID_HEADER,
+            'Verbenamux-Idempotent: expected true or false',
+        )
+    idempotency_key = environ.get('HTTP_IDEMPOTENCY_KEY', '')
+    if len(idempotency_key) > IDEMPOTENCY_KEY_MOST:
+        return _bad(ErrorCode.INVALID_HEADER, 'Idempotency-Key: too long')
+    deadline = _read_number(
+        environ,
+        'Verbenamux-Deadline-Ms',
+        DEADLINE_MOST_MS,
+    )
+    if isinstance(deadline, RequestFailure):
+        return deadline
+    priority = _read_number(environ, 'Verbenamux-Priority', PRIORITY_MOST)
+    if isinstance(priority, RequestFailure):
+        return priority
+    return Options(
+        idempotent == 'true' if idempotent else None,
+        idempotency_key,
+        None if deadline is None else timedelta(milliseconds=deadline),
+        priority or 0,
+    )
+
+
+def _read_number(
+    environ: Environ,
+    header: str,
+    most: int,
+) -> int | RequestFailure | None:
+    name = HEADER_PREFIX + header.upper().replace('-', '_')
+    text = environ.get(name)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()) or int(text[:10]) > most:
+        return _bad(
+            ErrorCode.INVALID_HEADER,
+            f'{header}: expected a whole number up to {most}',
+        )
+    return int(text)
+
+
+def _read_headers(
+    environ: Environ,
+) -> tuple[tuple[str, str], ...] | RequestFailure:
+    kept = []
+    for name, text in _all_headers(environ):
+        if len(text) > HEADER_LENGTH_MOST or not _is_clean(text):
+            return _bad(ErrorCode.INVALID_HEADER, f'{name}: bad value')
+        if name not in HOP_HEADERS and not name.startswith(OWN_PREFIX):
+            kept.append((name, text))
+    return tuple(kept)
+
+
+def _all_headers(environ: Environ) -> list[tuple[str, str]]:
+    found = [
+        (_header_name(name), text)
+        for name, text in environ.items()
+        if name.startswith(HEADER_PREFIX)
+    ]
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        found.append(('content-type', content_type))
+    return found
+
+
+def _header_name(name: str) -> str:
+    return name.removeprefix(HEADER_PREFIX).replace('_', '-').lower()
+
+
+def _is_clean(text: str) -> bool:
+    return all(letter.isprintable() or letter == '\t' for letter in text)
+
+
+def _read_body(
+    environ: Environ,
+    most: int,
+    time_most: timedelta,
+) -> bytes | RequestFailure:
+    length = environ.get('CONTENT_LENGTH') or None
+    chunked = 'HTTP_TRANSFER_ENCODING' in environ
+    if length is None and not chunked:
+        return b''
+    if length is not None and not _is_length(length):
+        return _bad(ErrorCode.INVALID_HEADER, 'Content-Length: not a number')
+    if length is not None and int(length) > most:
+        return _too_large(most)
+    try:
+        with gevent.Timeout(time_most.total_seconds()):
+            body = environ['wsgi.input'].read(most + 1)
+    except gevent.Timeout:
+        return _bad(ErrorCode.BODY_TOO_SLOW, 'the body came too slowly')
+    except (OSError, ValueError) as error:
+        return _bad(ErrorCode.BODY_INCOMPLETE, repr(error))
+    return _check_body(body, length, most)
+
+
+def _check_body(
+    body: bytes,
+    length: str | None,
+    most: int,
+) -> bytes | RequestFailure:
+    if len(body) > most:
+        return _too_large(most)
+    if length is not None and len(body) < int(length):
+        return _bad(
+            ErrorCode.BODY_INCOMPLETE,
+            f'{len(body)} of {length} bytes came',
+        )
+    return body
+
+
+def _check_key_stays(incoming: Incoming) -> Result[Incoming, RequestFailure]:
+    if not incoming.key:
+        return Success(incoming)
+    places = [incoming.path, incoming.query, unquote(incoming.query)]
+    places.extend(text for _, text in incoming.headers)
+    found = any(incoming.key in place for place in places)
+    if found or incoming.key.encode() in incoming.body:
+        return Failure(
+            _bad(
+                ErrorCode.INVALID_FIELD,
+                'the key may stand in the Authorization header only',
+            ),
+        )
+    return Success(incoming)
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _is_utf8(body: bytes) -> bool:
+    try:
+        body.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def _too_large(most: int) -> RequestFailure:
+    return _bad(ErrorCode.BODY_TOO_LARGE, f'the body is over {most} bytes')
+
+
+def _bad(code: ErrorCode, message: str) -> RequestFailure:
+    return RequestFailure(code, message)
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/build.py
@@ -0,0 +1,141 @@
+"""Putting a gateway's parts together."""
+
+from random import Random
+
+from verbenamux_admission.escrow import Escrow, Limits
+from verbenamux_admission.lease import HolderLease
+from verbenamux_config.state import Configuration
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.messages import AnyMessage, ConfigurationAsk
+from verbenamux_platform.http import Endpoint, parse_endpoint
+from verbenamux_platform.log import LogClient
+from verbenamux_routing.choose import make_chooser
+from verbenamux_routing.retry import RetryBudget
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.metrics import Metrics
+from verbenamux_runtime.peers import PeerLink, PeerServer
+
+from verbenamux_gateway.claims import ClaimKeeper
+from verbenamux_gateway.delivery import Tools
+from verbenamux_gateway.fleet import Fleet
+from verbenamux_gateway.following import Follower
+from verbenamux_gateway.gateway import Gateway
+from verbenamux_gateway.peering import PeerTable, PeerView
+from verbenamux_gateway.planning import PlannerDuty
+from verbenamux_gateway.rates import EscrowGate, FixedGate, RateGate
+from verbenamux_gateway.settings import GatewaySettings, RatePolicy
+from verbenamux_gateway.shares import ShareKeeper
+
+
+def build_gateway(
+    settings: GatewaySettings,
+    instance: InstanceId,
+    clock: Clock,
+    log: DecisionLog,
+) -> Gateway:
+    """Return a gateway with all its parts, not yet running."""
+
+    def on_ask(link: PeerLink, ask: ConfigurationAsk) -> None:
+        gateway.answer_configuration(link, ask)
+
+    def on_change(configuration: Configuration) -> None:
+        gateway.apply(configuration)
+
+    def receive(peer: PeerView, message: AnyMessage) -> None:
+        gateway.receive_reply(peer, message)
+
+    def receive_own(sender: bytes, message: AnyMessage) -> None:
+        gateway.receive_own(sender, message)
+
+    def limits_of(workspace: str) -> Limits | None:
+        return gateway.limits_of(workspace)
+
+    endpoint = parse_endpoint(settings.platform.log)
+    fleet = Fleet(instance, clock, on_ask)
+    peers = PeerTable(settings.name, instance, clock, receive)
+    escrow = Escrow('', clock, limits_of, HolderLease())
+    escrow_gate = EscrowGate(escrow, peers, clock, limits_of)
+    gateway = Gateway(
+        settings=settings,
+        instance=instance,
+        clock=clock,
+        log=log,
+        metrics=Metrics(),
+        fleet=fleet,
+        peers=peers,
+        follower=Follower(LogClient(endpoint), clock, on_change, log.write),
+        gate=_choose_gate(settings, escrow_gate),
+        escrow_gate=escrow_gate,
+        shares=_build_shares(
+            settings,
+            instance,
+            endpoint,
+            fleet,
+            escrow_gate,
+            log,
+        ),
+        claims=ClaimKeeper(LogClient(endpoint), clock, log.write),
+        planner=PlannerDuty(
+            settings.name,
+            settings.planning,
+            clock,
+            fleet,
+            peers,
+            log.write,
+        ),
+        tools=_build_tools(settings, fleet, clock, log),
+        server=PeerServer(settings.peer_address, receive_own),
+    )
+    return gateway
+
+
+def _choose_gate(
+    settings: GatewaySettings,
+    escrow_gate: EscrowGate,
+) -> RateGate:
+    if settings.rates.policy is RatePolicy.ESCROW:
+        return escrow_gate
+    return FixedGate(
+        settings.rates.gateways,
+        escrow_gate.clock,
+        escrow_gate.limits_of,
+    )
+
+
+def _build_shares(
+    settings: GatewaySettings,
+    instance: InstanceId,
+    endpoint: Endpoint,
+    fleet: Fleet,
+    escrow_gate: EscrowGate,
+    log: DecisionLog,
+) -> ShareKeeper:
+    return ShareKeeper(
+        name=settings.name,
+        instance=instance,
+        clock=escrow_gate.clock,
+        log=LogClient(endpoint),
+        fleet=fleet,
+        peers=escrow_gate.peers,
+        gate=escrow_gate,
+        lease_time=settings.rates.lease,
+        decide=log.write,
+    )
+
+
+def _build_tools(
+    settings: GatewaySettings,
+    fleet: Fleet,
+    clock: Clock,
+    log: DecisionLog,
+) -> Tools:
+    # Seeded choices make a run repeatable; names keep gateways apart.
+    random = Random(f'{settings.seed}/{settings.name}')
+    return Tools(
+        fleet=fleet,
+        clock=clock,
+        choose=make_chooser(settings.routing, settings.data_centre, random),
+        budget=RetryBudget(),
+        decide=log.write,
+    )
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/gateway.py
@@ -0,0 +1,232 @@
+"""One gateway: its parts, and which message goes to which of them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from verbenamux_admission.escrow import Limits
+from verbenamux_config.state import (
+    Configuration,
+    encode_snapshot,
+    view_for_target,
+)
+from verbenamux_contracts import messages as msg
+from verbenamux_contracts.clock import Clock, milliseconds, to_milliseconds
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.metrics import Metrics
+from verbenamux_runtime.peers import PeerLink, PeerServer
+
+from verbenamux_gateway.claims import ClaimKeeper
+from verbenamux_gateway.delivery import Tools
+from verbenamux_gateway.fleet import Fleet
+from verbenamux_gateway.following import Follower
+from verbenamux_gateway.peering import PeerTable, PeerView
+from verbenamux_gateway.planning import PlannerDuty
+from verbenamux_gateway.rates import EscrowGate, RateGate
+from verbenamux_gateway.settings import GatewaySettings
+from verbenamux_gateway.shares import ShareKeeper
+
+
+@dataclass(slots=True)
+class Gateway:
+    """Everything one gateway process consists of."""
+
+    settings: GatewaySettings
+    instance: InstanceId
+    clock: Clock
+    log: DecisionLog
+    metrics: Metrics
+    fleet: Fleet
+    peers: PeerTable
+    follower: Follower
+    gate: RateGate
+    escrow_gate: EscrowGate
+    shares: ShareKeeper
+    claims: ClaimKeeper
+    planner: PlannerDuty
+    tools: Tools
+    server: PeerServer
+    leaving: bool = False
+    in_flight: int = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self.follower.configuration
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        known = self.configuration.version > 0 and self.gate.ready
+        return known and not self.leaving
+
+    def hello(
+        self,
+        asked_ms: int = 0,
+        *,
+        reply_wanted: bool = False,
+    ) -> msg.Hello:
+        """Return how this gateway presents itself now."""
+        configuration = self.configuration
+        return msg.Hello(
+            sender=self.settings.name,
+            instance=self.instance,
+            version=configuration.version,
+            digest=configuration.digest,
+            holder=self.escrow_gate.escrow.holder,
+            data_centre=self.settings.data_centre,
+            withdrawn=len(configuration.withdrawn),
+            reply_wanted=reply_wanted,
+            asked_ms=asked_ms,
+            leaving=self.leaving,
+        )
+
+    def greet(self) -> None:
+        """Say hello to every agent and every gateway."""
+        self.fleet.greet(self.hello())
+        asked_ms = to_milliseconds(self.clock.elapsed())
+        self.peers.broadcast(self.hello(asked_ms, reply_wanted=True))
+
+    def is_fresh(self) -> bool:
+        """Tell whether what this gateway knows is young enough to act on.
+
+        A gateway without any known peer goes on through a log outage,
+        since nobody else could know better.
+        """
+        moment = self.follower.fresh_at
+        if not self.peers.by_name:
+            moment = self.follower.tried_at
+        if moment is None:
+            return False
+        return self.clock.elapsed() - moment < self.settings.stale_after
+
+    def wait_fresh(self, until: timedelta) -> bool:
+        """Wait for fresh knowledge, at most until a moment."""
+        while not self.is_fresh():
+            left = until - self.clock.elapsed()
+            if left <= timedelta():
+                return False
+            self.follower.refreshed.wait(left.total_seconds())
+        return True
+
+    def apply(self, configuration: Configuration) -> None:
+        """Follow a configuration that has just come into force."""
+        self.fleet.follow(configuration.targets_by_name.values())
+        self.greet()
+
+    def limits_of(self, workspace: str) -> Limits | None:
+        """Return a workspace's rate and burst."""
+        declared = self.configuration.workspaces_by_name.get(workspace)
+        if declared is None:
+            return None
+        return Limits(
+            declared.rate_tokens_per_second,
+            declared.burst_tokens,
+        )
+
+    def answer_configuration(
+        self,
+        link: PeerLink,
+        ask: msg.ConfigurationAsk,
+    ) -> None:
+        """Send an agent its part of the configuration."""
+        link.send(self.configuration_reply(ask))
+
+    def receive_own(
+        self,
+        sender: bytes,
+        message: msg.AnyMessage,
+    ) -> None:
+        """Take a message that came to this gateway's own socket."""
+        handler = HANDLER_BY_MESSAGE.get(type(message))
+        if handler is None:
+            self.log.write('unexpected', kind=type(message).__name__)
+            return
+        reply = handler(self, message)
+        if reply is not None:
+            self.server.send(sender, reply)
+
+    def receive_reply(self, peer: PeerView, message: msg.AnyMessage) -> None:
+        """Take what a peer sent back over the link to it."""
+        if isinstance(message, msg.Hello):
+            if self.weigh_hello(message):
+                self.follower.touch(milliseconds(message.asked_ms))
+        elif isinstance(message, msg.ConfigurationReply):
+            self.follower.adopt(message.snapshot)
+        elif isinstance(message, msg.WithdrawalDone):
+            self.metrics.count('verbenamux_withdrawals_confirmed')
+
+    def configuration_reply(
+        self,
+        ask: msg.ConfigurationAsk,
+    ) -> msg.ConfigurationReply:
+        """Return the configuration, or the part that one agent needs."""
+        configuration = self.configuration
+        if ask.target:
+            configuration = view_for_target(configuration, ask.target)
+        return msg.ConfigurationReply(encode_snapshot(configuration))
+
+    def weigh_hello(self, hello: msg.Hello) -> bool:
+        """Tell whether all that a peer knows is known here.
+
+        If not, the peer is asked for its configuration.
+        """
+        self.peers.note(hello)
+        own = self.configuration
+        ahead = hello.version > own.version
+        if not ahead and hello.withdrawn <= len(own.withdrawn):
+            return True
+        peer = self.peers.by_name.get(hello.sender)
+        if peer is not None:
+            peer.link.send(msg.ConfigurationAsk(own.version))
+        return False
+
+
+def _on_hello(gateway: Gateway, hello: msg.Hello) -> msg.Message | None:
+    gateway.weigh_hello(hello)
+    if not hello.reply_wanted:
+        return None
+    return gateway.hello(hello.asked_ms)
+
+
+def _on_configuration_ask(
+    gateway: Gateway,
+    ask: msg.ConfigurationAsk,
+) -> msg.Message:
+    return gateway.configuration_reply(ask)
+
+
+def _on_withdrawal(
+    gateway: Gateway,
+    withdrawal: msg.Withdrawal,
+) -> msg.Message:
+    known = gateway.configuration.withdrawn
+    gateway.follower.withdraw(withdrawal.key_hashes)
+    if gateway.configuration.withdrawn != known:
+        gateway.peers.broadcast(withdrawal)
+    return msg.WithdrawalDone(
+        gateway.settings.name,
+        len(gateway.configuration.withdrawn),
+    )
+
+
+def _on_tokens_ask(gateway: Gateway, ask: msg.TokensAsk) -> msg.Message:
+    return gateway.escrow_gate.answer(ask)
+
+
+def _on_demand(gateway: Gateway, report: msg.DemandReport) -> None:
+    gateway.planner.take_report(report)
+
+
+HANDLER_BY_MESSAGE: dict[
+    type,
+    Callable[[Gateway, Any], msg.Message | None],
+] = {
+    msg.Hello: _on_hello,
+    msg.ConfigurationAsk: _on_configuration_ask,
+    msg.Withdrawal: _on_withdrawal,
+    msg.TokensAsk: _on_tokens_ask,
+    msg.DemandReport: _on_demand,
+}
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/rates.py
@@ -0,0 +1,213 @@
+"""Spending a workspace's rate: own tokens first, then peers' tokens."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from verbenamux_admission.book import WHOLE
+from verbenamux_admission.escrow import Escrow, Limits
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.errors import ErrorCode, RequestFailure
+from verbenamux_contracts.ids import new_attempt_id
+from verbenamux_contracts.messages import TokensAsk, TokensGrant
+
+from verbenamux_gateway.peering import PeerTable
+
+ASK_TIMEOUT = timedelta(milliseconds=300)
+ASK_AHEAD = timedelta(milliseconds=500)
+HOLDERS_ASKED_MOST = 8
+
+LimitsOf = Callable[[str], Limits | None]
+
+
+class RateGate(Protocol):
+    """What the server needs of a rate policy; tokens are whole."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether tokens can be spent here now."""
+
+    def admit(self, workspace: str, tokens: int) -> RequestFailure | None:
+        """Spend tokens, or say why not and when to come back."""
+
+    def settle(self, workspace: str, reserved: int, used: int) -> None:
+        """Give back what was reserved and not used."""
+
+
+@dataclass(slots=True)
+class EscrowGate:
+    """Spends from the escrow, and asks the holders of units for more."""
+
+    escrow: Escrow
+    peers: PeerTable
+    clock: Clock
+    limits_of: LimitsOf
+    spent: Counter[str] = field(default_factory=Counter)
+    lent: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter),
+    )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the lease on this gateway's units is valid."""
+        return self.escrow.lease.is_valid(self.clock.elapsed())
+
+    def admit(self, workspace: str, tokens: int) -> RequestFailure | None:
+        """Spend tokens, borrowing what is missing."""
+        limits = self.limits_of(workspace)
+        if limits is None or tokens > limits.burst:
+            return _over_burst(tokens, limits)
+        if self._take(workspace, tokens):
+            return None
+        for peer_name in self._lenders(workspace):
+            self._borrow(peer_name, workspace, tokens, limits)
+            if self._take(workspace, tokens):
+                return None
+        return self._refusal(workspace, tokens)
+
+    def settle(self, workspace: str, reserved: int, used: int) -> None:
+        """Put back what a request did not use."""
+        self.escrow.settle(workspace, reserved, used)
+        self.spent[workspace] += used - reserved
+
+    def answer(self, ask: TokensAsk) -> TokensGrant:
+        """Lend a peer what it asks for, as far as there is any."""
+        granted = self.escrow.lend(ask.workspace, ask.tokens, ask.at_most)
+        self.lent[ask.workspace][ask.sender] += granted
+        return TokensGrant(ask.ask_id, ask.workspace, granted)
+
+    def units_to_move(self) -> dict[str, dict[str, int]]:
+        """Return units by receiver and workspace that follow use.
+
+        Half of what a peer borrowed, as a part of all that was spent from
+        here, moves to that peer; then counting starts anew.
+        """
+        moves: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        for workspace, by_peer in self.lent.items():
+            total = max(0, self.spent[workspace]) + by_peer.total()
+            held = self.escrow.book.units(workspace, self.escrow.holder)
+            for peer_name, lent in by_peer.items():
+                units = held * lent // (2 * max(1, total))
+                if units * 100 > WHOLE:
+                    moves[peer_name][workspace] = units
+        self.lent.clear()
+        self.spent.clear()
+        return dict(moves)
+
+    def _take(self, workspace: str, tokens: int) -> bool:
+        taken = self.escrow.take(workspace, tokens)
+        if taken:
+            self.spent[workspace] += tokens
+        return taken
+
+    def _lenders(self, workspace: str) -> list[str]:
+        names = [
+            holder.partition('/')[0]
+            for holder in self.escrow.book.holders(workspace)
+            if holder != self.escrow.holder
+        ]
+        alive = [name for name in names if self.peers.is_alive(name)]
+        return alive[:HOLDERS_ASKED_MOST]
+
+    def _borrow(
+        self,
+        peer_name: str,
+        workspace: str,
+        tokens: int,
+        limits: Limits,
+    ) -> None:
+        peer = self.peers.by_name.get(peer_name)
+        if peer is None:
+            return
+        ahead = int(limits.rate * ASK_AHEAD.total_seconds())
+        missing = self.escrow.missing(workspace, tokens)
+        ask_id = new_attempt_id()
+        ask = TokensAsk(
+            ask_id,
+            self.peers.own_name,
+            workspace,
+            missing,
+            missing + ahead,
+        )
+        asked_at = self.clock.elapsed()
+        grant = peer.link.ask(ask_id, ask, ASK_TIMEOUT)
+        if isinstance(grant, TokensGrant) and grant.tokens:
+            self.escrow.borrow(workspace, grant.tokens, asked_at, peer_name)
+
+    def _refusal(self, workspace: str, tokens: int) -> RequestFailure:
+        if not self.ready:
+            return RequestFailure(
+                ErrorCode.NO_LEASE,
+                'this gateway holds no lease on the rate',
+            )
+        return RequestFailure(
+            ErrorCode.RATE_EXCEEDED,
+            'the rate of the workspace is used up',
+            retry_after=self.escrow.wait_for(workspace, tokens),
+        )
+
+
+@dataclass(slots=True)
+class _FixedBucket:
+    balance: float
+    refilled_at: timedelta
+
+
+@dataclass(slots=True)
+class FixedGate:
+    """A baseline: every gateway has 1/n of each rate and burst."""
+
+    gateways: int
+    clock: Clock
+    limits_of: LimitsOf
+    by_workspace: dict[str, _FixedBucket] = field(default_factory=dict)
+
+    @property
+    def ready(self) -> bool:
+        """A fixed part is always there."""
+        return True
+
+    def admit(self, workspace: str, tokens: int) -> RequestFailure | None:
+        """Spend tokens of this gateway's fixed part."""
+        limits = self.limits_of(workspace)
+        if limits is None or tokens > limits.burst:
+            return _over_burst(tokens, limits)
+        bucket = self._refill(workspace, limits)
+        if bucket.balance < tokens:
+            lacking = (tokens - bucket.balance) * self.gateways
+            return RequestFailure(
+                ErrorCode.RATE_EXCEEDED,
+                'the rate of the workspace is used up here',
+                retry_after=timedelta(seconds=lacking / limits.rate),
+            )
+        bucket.balance -= tokens
+        return None
+
+    def settle(self, workspace: str, reserved: int, used: int) -> None:
+        """Put back what a request did not use."""
+        limits = self.limits_of(workspace)
+        if limits is not None:
+            self._refill(workspace, limits).balance += reserved - used
+
+    def _refill(self, workspace: str, limits: Limits) -> _FixedBucket:
+        now = self.clock.elapsed()
+        burst = limits.burst / self.gateways
+        bucket = self.by_workspace.setdefault(
+            workspace,
+            _FixedBucket(burst, now),
+        )
+        seconds = (now - bucket.refilled_at).total_seconds()
+        earned = seconds * limits.rate / self.gateways
+        bucket.balance = min(burst, bucket.balance + earned)
+        bucket.refilled_at = now
+        return bucket
+
+
+def _over_burst(tokens: int, limits: Limits | None) -> RequestFailure:
+    burst = 0 if limits is None else limits.burst
+    return RequestFailure(
+        ErrorCode.REQUEST_OVER_BURST,
+        f'the request needs {tokens} tokens, the burst is {burst}',
+    )
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -0,0 +1,146 @@
+"""Running a gateway: its loops, and how it leaves."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import gevent
+from returns.pipeline import is_successful
+from verbenamux_admission.rendezvous import pick
+from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
+from verbenamux_platform.http import parse_endpoint
+from verbenamux_runtime.program import every, stop_on_signal
+from verbenamux_runtime.webserver import serve
+
+from verbenamux_gateway.gateway import Gateway
+from verbenamux_gateway.server import make_application
+from verbenamux_gateway.settings import RatePolicy
+
+HOSTS_INTERVAL = timedelta(seconds=1)
+SILENCE_CHECK = timedelta(milliseconds=500)
+CLAIM_INTERVAL = timedelta(milliseconds=200)
+MOVE_INTERVAL = timedelta(seconds=5)
+RECLAIM_INTERVAL = timedelta(seconds=1)
+RENEWALS_PER_LEASE = 4
+DRAIN_STEP = timedelta(milliseconds=50)
+DRAIN_MOST = timedelta(minutes=10)
+GATEWAY_ROLE = 'gateway'
+AGENT_ROLE = 'agent'
+
+Step = Callable[[], None]
+
+
+def run_gateway(gateway: Gateway) -> None:
+    """Serve until SIGTERM, then leave without cutting off a request."""
+    stop = stop_on_signal()
+    for peer in gateway.settings.peers:
+        gateway.peers.learn(peer.name, peer.address)
+    gevent.spawn(gateway.server.run)
+    gevent.spawn(gateway.follower.run)
+    _start_loops(gateway)
+    if gateway.settings.rates.policy is RatePolicy.ESCROW:
+        _start_share_loops(gateway)
+    server = serve(
+        gateway.settings.address,
+        make_application(gateway),
+        gateway.settings.limits.connections,
+    )
+    gateway.log.write('started', address=gateway.settings.address)
+    stop.wait()
+    _drain(gateway)
+    server.stop()
+    gateway.log.write('stopped')
+
+
+def _start_loops(gateway: Gateway) -> None:
+    settings = gateway.settings
+    _loop(gateway, settings.hello, gateway.greet)
+    _loop(gateway, SILENCE_CHECK, gateway.fleet.check_silence)
+    _loop(
+        gateway,
+        settings.planning.interval,
+        lambda: gateway.planner.step(gateway.configuration),
+    )
+    _loop(
+        gateway,
+        settings.snapshot_every,
+        lambda: _write_snapshots(gateway),
+    )
+    gevent.spawn(gateway.claims.follow)
+    gevent.spawn(gateway.claims.append_batches)
+    if settings.platform.hosts is not None:
+        client = HostListClient(parse_endpoint(settings.platform.hosts))
+        _loop(gateway, HOSTS_INTERVAL, lambda: _read_hosts(gateway, client))
+
+
+def _start_share_loops(gateway: Gateway) -> None:
+    shares = gateway.shares
+    gevent.spawn(shares.follow)
+    renewal = gateway.settings.rates.lease / RENEWALS_PER_LEASE
+    _loop(
+        gateway,
+        min(renewal, timedelta(seconds=1)),
+        lambda: shares.renew(_witness_addresses(gateway)),
+    )
+    _loop(
+        gateway,
+        CLAIM_INTERVAL,
+        lambda: shares.claim(list(gateway.configuration.workspaces_by_name)),
+    )
+    _loop(gateway, MOVE_INTERVAL, shares.move_units)
+    _loop(gateway, RECLAIM_INTERVAL, shares.reclaim_dead)
+
+
+def _loop(gateway: Gateway, interval: timedelta, step: Step) -> None:
+    def report(error: Exception) -> None:
+        gateway.log.write('loop_error', cause=repr(error))
+
+    every(interval, step, report)
+
+
+def _witness_addresses(gateway: Gateway) -> list[str]:
+    targets = gateway.configuration.targets_by_name.values()
+    return sorted({target.agent for target in targets})
+
+
+def _write_snapshots(gateway: Gateway) -> None:
+    names = [peer.name for peer in gateway.peers.alive()]
+    own_name = gateway.settings.name
+    if pick('snapshots', [*names, own_name], 1) == [own_name]:
+        gateway.follower.write_snapshot()
+        gateway.shares.write_snapshot()
+
+
+def _read_hosts(gateway: Gateway, client: HostListClient) -> None:
+    listed = client.read()
+    if not is_successful(listed):
+        return
+    hosts = listed.unwrap()
+    gateways = [host for host in hosts if _is_live(host, GATEWAY_ROLE)]
+    for host in gateways:
+        gateway.peers.learn(host.name, host.address)
+    named = {peer.name for peer in gateway.settings.peers}
+    named.update(host.name for host in gateways)
+    gateway.peers.forget_missing(named)
+    gateway.fleet.mark_leaving(
+        host.name
+        for host in hosts
+        if host.role == AGENT_ROLE and host.state is HostState.LEAVING
+    )
+
+
+def _is_live(host: HostEntry, role: str) -> bool:
+    return host.role == role and host.state is HostState.LIVE
+
+
+def _drain(gateway: Gateway) -> None:
+    """Let the balancer notice, then wait for every open request."""
+    gateway.leaving = True
+    gateway.greet()
+    gateway.log.write('draining', in_flight=gateway.in_flight)
+    gateway.clock.sleep(gateway.settings.limits.drain_linger)
+    left = DRAIN_MOST
+    while gateway.in_flight and left > timedelta():
+        gateway.clock.sleep(DRAIN_STEP)
+        left -= DRAIN_STEP
+    if gateway.settings.rates.policy is RatePolicy.ESCROW:
+        gateway.shares.give_all_away()
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/server.py
@@ -0,0 +1,434 @@
+"""The caller's HTTP surface, as a WSGI application."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+from verbenamux_config.access import authenticate
+from verbenamux_contracts.errors import (
+    ErrorCode,
+    RequestFailure,
+    RequestRejectedError,
+    Run,
+)
+from verbenamux_contracts.ids import RequestId, new_request_id
+from verbenamux_runtime import metrics
+from verbenamux_runtime.webserver import Application, StartResponse
+
+from verbenamux_gateway import answers, completions
+from verbenamux_gateway.admission import (
+    BODY_BY_PATH,
+    Admitted,
+    admit_completion,
+    admit_service,
+    identify,
+    reachable_models,
+)
+from verbenamux_gateway.border import Environ, Incoming, read_incoming
+from verbenamux_gateway.delivery import Delivery
+from verbenamux_gateway.gateway import Gateway
+
+SERVICES_PREFIX = '/services/'
+UNAVAILABLE = 503
+REQUESTS = 'verbenamux_requests_total'
+FIRST_TOKEN = 'verbenamux_time_to_first_token_seconds'
+DURATION = 'verbenamux_request_seconds'
+
+PASSED_HEADERS = frozenset(('content-type', 'cache-control', 'location'))
+
+
+def make_application(gateway: Gateway) -> Application:
+    """Return the application that answers callers."""
+
+    def application(
+        environ: Environ,
+        start: StartResponse,
+    ) -> Iterable[bytes]:
+        request_id = new_request_id()
+        gateway.in_flight += 1
+        arrived = gateway.clock.elapsed()
+        answer = _answer(gateway, environ, request_id)
+        pieces = answers.send(
+            answer,
+            request_id,
+            start,
+            closing=gateway.leaving,
+        )
+        try:
+            yield from pieces
+        finally:
+            _close(pieces)
+            gateway.in_flight -= 1
+            gateway.metrics.observe(
+                DURATION,
+                gateway.clock.elapsed() - arrived,
+            )
+
+    return application
+
+
+def _close(pieces: Iterable[bytes]) -> None:
+    close = getattr(pieces, 'close', None)
+    if close is not None:
+        close()
+
+
+def _answer(
+    gateway: Gateway,
+    environ: Environ,
+    request_id: RequestId,
+) -> answers.Answer:
+    probe = _answer_probe(gateway, environ['PATH_INFO'])
+    if probe is not None:
+        return probe
+    try:
+        return _answer_caller(gateway, environ, request_id)
+    except RequestRejectedError as rejected:
+        return _refuse(gateway, rejected.failure, request_id)
+    except Exception as error:
+        gateway.log.write(
+            'internal_error',
+            request_id=request_id,
+            cause=repr(error),
+        )
+        failure = RequestFailure(
+            ErrorCode.OUTCOME_UNKNOWN,
+            'internal error',
+            Run.UNKNOWN,
+        )
+        return _refuse(gateway, failure, request_id)
+
+
+def _answer_probe(gateway: Gateway, path: str) -> answers.Answer | None:
+    if path == '/healthz':
+        return answers.json_answer(b'{"status":"ok"}')
+    if path == '/readyz':
+        status = answers.OK if gateway.ready else UNAVAILABLE
+        return answers.json_answer(_status(gateway), status)
+    if path == '/metrics':
+        _gauge(gateway)
+        body = gateway.metrics.render()
+        return answers.text_answer(body, metrics.CONTENT_TYPE)
+    return None
+
+
+def _status(gateway: Gateway) -> bytes:
+    configuration = gateway.configuration
+    return msgspec.json.encode(
+        {
+            'ready': gateway.ready,
+            'name': gateway.settings.name,
+            'version': configuration.version,
+            'digest': configuration.digest,
+            'fresh': gateway.is_fresh(),
+            'peers': [peer.name for peer in gateway.peers.alive()],
+            'targets': {
+                name: _target_status(view)
+                for name, view in gateway.fleet.views.by_name.items()
+            },
+        },
+    )
+
+
+def _target_status(view: Any) -> dict[str, Any]:
+    return {
+        'alive': view.alive,
+        'leaving': view.leaving,
+        'models': view.version_by_model,
+        'breaker': view.breaker.state.value,
+    }
+
+
+def _gauge(gateway: Gateway) -> None:
+    gateway.metrics.gauge(
+        'verbenamux_configuration_version',
+        gateway.configuration.version,
+    )
+    gateway.metrics.gauge('verbenamux_in_flight', gateway.in_flight)
+    gateway.metrics.gauge('verbenamux_fresh', int(gateway.is_fresh()))
+    gateway.metrics.gauge(
+        'verbenamux_targets_usable',
+        sum(view.usable for view in gateway.fleet.views.by_name.values()),
+    )
+
+
+def _answer_caller(
+    gateway: Gateway,
+    environ: Environ,
+    request_id: RequestId,
+) -> answers.Answer:
+    limits = gateway.settings.limits
+    read = read_incoming(environ, limits.body, limits.body_time)
+    if not is_successful(read):
+        raise RequestRejectedError(read.failure())
+    incoming = read.unwrap()
+    wait_until = gateway.clock.elapsed() + gateway.settings.hello
+    if not gateway.wait_fresh(wait_until):
+        raise RequestRejectedError(
+            RequestFailure(
+                ErrorCode.STALE_CONFIGURATION,
+                'this gateway has heard neither the log nor a peer lately',
+            ),
+        )
+    if incoming.path == '/v1/models':
+        return _answer_models(gateway, incoming)
+    admitted = _admit(gateway, incoming, request_id)
+    if not is_successful(admitted):
+        raise RequestRejectedError(admitted.failure())
+    return _deliver(gateway, incoming, admitted.unwrap())
+
+
+def _answer_models(gateway: Gateway, incoming: Incoming) -> answers.Answer:
+    identified = identify(gateway, incoming)
+    if not is_successful(identified):
+        raise RequestRejectedError(identified.failure())
+    names = reachable_models(gateway, identified.unwrap())
+    listed = [
+        {'id': name, 'object': 'model', 'owned_by': 'verbenamux'}
+        for name in names
+    ]
+    return answers.json_answer(
+        msgspec.json.encode({'object': 'list', 'data': listed}),
+    )
+
+
+def _admit(
+    gateway: Gateway,
+    incoming: Incoming,
+    request_id: RequestId,
+) -> Result[Admitted, RequestFailure]:
+    if incoming.path in BODY_BY_PATH:
+        return admit_completion(gateway, incoming, request_id)
+    if incoming.path.startswith(SERVICES_PREFIX):
+        rest = incoming.path.removeprefix(SERVICES_PREFIX)
+        name, _, path = rest.partition('/')
+        return admit_service(
+            gateway,
+            incoming,
+            request_id,
+            name,
+            f'/{path}',
+        )
+    return Failure(
+        RequestFailure(ErrorCode.ROUTE_NOT_FOUND, 'no such route'),
+    )
+
+
+def _deliver(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+) -> answers.Answer:
+    reserved = admitted.work.need.tokens
+    _spend(gateway, admitted, reserved)
+    failure = _claim(gateway, incoming, admitted)
+    if failure is not None:
+        gateway.gate.settle(admitted.workspace, reserved, 0)
+        raise RequestRejectedError(failure)
+    gateway.tools.budget.earn()
+    gateway.planner.note(admitted.work.need.model, reserved)
+    delivery = Delivery(
+        admitted.work,
+        gateway.tools,
+        _permit(gateway, incoming, admitted),
+    )
+    pieces = _settled(gateway, incoming, admitted, delivery)
+    if admitted.work.need.service:
+        return _answer_service(delivery, pieces)
+    if admitted.stream:
+        return _answer_stream(gateway, admitted, pieces)
+    return _answer_whole(gateway, admitted, pieces)
+
+
+def _spend(gateway: Gateway, admitted: Admitted, tokens: int) -> None:
+    if not admitted.workspace:
+        return
+    failure = gateway.gate.admit(admitted.workspace, tokens)
+    if failure is not None:
+        raise RequestRejectedError(failure)
+
+
+def _claim(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+) -> RequestFailure | None:
+    idempotency_key = incoming.options.idempotency_key
+    if not idempotency_key:
+        return None
+    return gateway.claims.claim(
+        admitted.workspace,
+        idempotency_key,
+        admitted.work.request_id,
+    )
+
+
+def _permit(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+) -> Any:
+    """Return the check that a running request must keep passing."""
+
+    def permit() -> RequestFailure | None:
+        if not gateway.wait_fresh(admitted.work.deadline):
+            return RequestFailure(
+                ErrorCode.STALE_CONFIGURATION,
+                'this gateway has heard neither the log nor a peer lately',
+            )
+        if not admitted.workspace:
+            return None
+        identified = authenticate(gateway.configuration, incoming.key_hash)
+        if is_successful(identified):
+            return None
+        return identified.failure()
+
+    return permit
+
+
+def _settled(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+    delivery: Delivery,
+) -> Iterator[bytes]:
+    """Yield the answer's pieces, and settle rate and claim at the end."""
+    work = admitted.work
+    arrived = gateway.clock.elapsed()
+    first = True
+    outcome = 'cancelled'
+    try:
+        for piece in delivery.pieces():
+            if first:
+                first = False
+                elapsed = gateway.clock.elapsed() - arrived
+                gateway.metrics.observe(FIRST_TOKEN, elapsed)
+            yield piece
+        outcome = 'whole'
+    except RequestRejectedError as rejected:
+        outcome = rejected.failure.code.value
+        raise
+    finally:
+        _settle(gateway, incoming, admitted, delivery)
+        gateway.metrics.count(REQUESTS, outcome=outcome)
+        gateway.log.write(
+            'outcome',
+            request_id=work.request_id,
+            workspace=work.workspace,
+            outcome=outcome,
+            run=delivery.run.value,
+            attempts=delivery.attempts,
+            tokens=delivery.tokens,
+        )
+
+
+def _settle(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+    delivery: Delivery,
+) -> None:
+    reserved = admitted.work.need.tokens
+    not_run = delivery.tokens is None and delivery.run is Run.NOT_RUN
+    used = 0 if not_run else delivery.tokens or reserved
+    if admitted.workspace:
+        gateway.gate.settle(admitted.workspace, reserved, used)
+    idempotency_key = incoming.options.idempotency_key
+    if idempotency_key and not_run:
+        gateway.claims.release(
+            admitted.workspace,
+            idempotency_key,
+            admitted.work.request_id,
+        )
+
+
+def _answer_whole(
+    gateway: Gateway,
+    admitted: Admitted,
+    pieces: Iterator[bytes],
+) -> answers.Answer:
+    body = completions.assemble(
+        pieces,
+        admitted.work.request_id,
+        admitted.model,
+        gateway.clock.now(),
+        chat=admitted.chat,
+    )
+    return answers.json_answer(body)
+
+
+def _answer_stream(
+    gateway: Gateway,
+    admitted: Admitted,
+    pieces: Iterator[bytes],
+) -> answers.Answer:
+    request_id = admitted.work.request_id
+    first = next(pieces)
+
+    def encode_error(error: Exception) -> bytes:
+        failure = _as_failure(error)
+        return answers.encode_failure(failure, request_id)
+
+    return answers.Answer(
+        answers.OK,
+        [
+            ('Content-Type', answers.STREAM_TYPE),
+            ('Cache-Control', 'no-cache'),
+        ],
+        answers.stream_frames(first, pieces, encode_error),
+    )
+
+
+def _as_failure(error: Exception) -> RequestFailure:
+    if isinstance(error, RequestRejectedError):
+        return error.failure
+    return RequestFailure(
+        ErrorCode.OUTCOME_UNKNOWN,
+        'internal error',
+        Run.UNKNOWN,
+    )
+
+
+def _answer_service(
+    delivery: Delivery,
+    pieces: Iterator[bytes],
+) -> answers.Answer:
+    body = b''.join(pieces)
+    started = delivery.started
+    if started is None:
+        raise RequestRejectedError(
+            RequestFailure(
+                ErrorCode.ANSWER_INCOMPLETE,
+                'the service answered nothing',
+                Run.RAN,
+            ),
+        )
+    headers = [
+        (name.title(), text)
+        for name, text in started.headers
+        if name in PASSED_HEADERS
+    ]
+    headers.append(('Content-Length', str(len(body))))
+    return answers.Answer(started.status, headers, [body])
+
+
+def _refuse(
+    gateway: Gateway,
+    failure: RequestFailure,
+    request_id: RequestId,
+) -> answers.Answer:
+    gateway.metrics.count(
+        'verbenamux_refusals_total',
+        code=failure.code.value,
+        run=failure.run.value,
+    )
+    gateway.log.write(
+        'refused',
+        request_id=request_id,
+        code=failure.code.value,
+        run=failure.run.value,
+        cause=failure.message,
+    )
+    return answers.failure_answer(failure, request_id)
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -0,0 +1,306 @@
+"""Keeping this gateway's place among the holders of rate units."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import gevent
+import msgspec
+from returns.pipeline import is_successful
+from verbenamux_admission import book as records
+from verbenamux_admission.escrow import Escrow
+from verbenamux_admission.lease import HolderLease
+from verbenamux_admission.rendezvous import pick
+from verbenamux_contracts.clock import Clock, to_milliseconds
+from verbenamux_contracts.ids import InstanceId, new_attempt_id
+from verbenamux_contracts.messages import (
+    Consent,
+    ConsentAsk,
+    LeaseAsk,
+    LeasePromise,
+    Message,
+)
+from verbenamux_platform.errors import PlatformFault
+from verbenamux_platform.log import LogClient
+
+from verbenamux_gateway.fleet import Fleet
+from verbenamux_gateway.peering import PeerTable
+from verbenamux_gateway.rates import EscrowGate
+
+SHARES_STREAM = 'shares'
+WITNESSES = 5
+RENEW_PARTS = 4
+ASK_TIMEOUT = timedelta(seconds=1)
+READ_WAIT = timedelta(seconds=1)
+RETRY_PAUSE = timedelta(milliseconds=500)
+SNAPSHOT_RECORDS = 200
+RECLAIM_AFTER_LEASES = 2
+
+Decide = Callable[..., None]
+
+
+@dataclass(slots=True)
+class ShareKeeper:
+    """Follows the shares stream and keeps a lease on the units held.
+
+    A keeper takes a fresh holder name whenever its lease has been lost or
+    its witnesses have left the configuration; the old name's units move
+    to the new one by a record, which the log orders against a reclaim.
+    """
+
+    name: str
+    instance: InstanceId
+    clock: Clock
+    log: LogClient
+    fleet: Fleet
+    peers: PeerTable
+    gate: EscrowGate
+    lease_time: timedelta
+    decide: Decide
+    generation: 'itertools.count[int]' = field(default_factory=itertools.count)
+    caught_up: bool = False
+    unsure: bool = False
+    appended: set[str] = field(default_factory=set)
+    seen_at_by_holder: dict[str, timedelta] = field(default_factory=dict)
+    snapshot_offset: int = 0
+
+    @property
+    def escrow(self) -> Escrow:
+        """The escrow that spends what this keeper holds."""
+        return self.gate.escrow
+
+    def follow(self) -> None:
+        """Read the shares stream for ever."""
+        self._restore()
+        while True:
+            batch = self.log.read(
+                SHARES_STREAM,
+                self.escrow.book.through_offset,
+                wait=READ_WAIT if self.caught_up else timedelta(),
+            )
+            if not is_successful(batch):
+                if batch.failure().fault is PlatformFault.EXPIRED:
+                    self._restore()
+                self.clock.sleep(RETRY_PAUSE)
+                continue
+            read = batch.unwrap()
+            self.escrow.fold(read.first_offset, read.bodies)
+            if not read.bodies:
+                self.caught_up = True
+
+    def renew(self, addresses: list[str]) -> None:
+        """Renew the lease, or take a fresh name when that cannot be."""
+        if not self._is_registered():
+            self._register(addresses)
+        self._ask_witnesses()
+        lease = self.escrow.lease
+        gone = set(lease.witnesses) - set(addresses)
+        lost = not lease.is_valid(self.clock.elapsed())
+        if gone or lost or self.unsure:
+            self._register(addresses)
+            self._ask_witnesses()
+
+    def claim(self, workspaces: list[str]) -> None:
+        """Claim workspaces that nobody holds, once the book is known."""
+        if not self.caught_up or not self._is_registered():
+            return
+        names = [*self.peers.by_name, self.name]
+        unclaimed = [
+            workspace
+            for workspace in workspaces
+            if not self.escrow.book.is_claimed(workspace)
+            and pick(workspace, self._alive_names(names), 1) == [self.name]
+        ]
+        if unclaimed:
+            self._append(
+                records.ClaimUnits(self.escrow.holder, tuple(unclaimed)),
+            )
+
+    def move_units(self) -> None:
+        """Grant units to the peers that borrow most, in few records."""
+        for peer_name, units in self.gate.units_to_move().items():
+            peer = self.peers.by_name.get(peer_name)
+            if peer is None or peer.hello is None or not peer.hello.holder:
+                continue
+            self._grant(peer.hello.holder, units)
+
+    def give_all_away(self) -> None:
+        """Grant all units to a living peer, before leaving."""
+        receivers = [
+            peer.hello.holder
+            for peer in self.peers.alive()
+            if peer.hello is not None and peer.hello.holder
+        ]
+        held = self._held_units()
+        if receivers and held:
+            self._grant(receivers[0], held)
+
+    def reclaim_dead(self) -> None:
+        """Take over the units of holders that no living gateway names."""
+        now = self.clock.elapsed()
+        living = {self.escrow.holder}
+        living.update(
+            peer.hello.holder
+            for peer in self.peers.alive()
+            if peer.hello is not None
+        )
+        for holder in self.escrow.book.known_holders():
+            if holder in living:
+                self.seen_at_by_holder[holder] = now
+                continue
+            seen_at = self.seen_at_by_holder.setdefault(holder, now)
+            if now - seen_at > RECLAIM_AFTER_LEASES * self.lease_time:
+                self._reclaim(holder)
+
+    def write_snapshot(self) -> None:
+        """Append the book once enough records came since the last."""
+        book = self.escrow.book
+        fresh = book.through_offset - self.snapshot_offset
+        if self.caught_up and fresh >= SNAPSHOT_RECORDS:
+            self.snapshot_offset = book.through_offset
+            self._append(book.snapshot())
+
+    def _is_registered(self) -> bool:
+        return self.escrow.holder in self.escrow.book.witnesses_by_holder
+
+    def _register(self, addresses: list[str]) -> None:
+        """Take a fresh holder name with witnesses of its own."""
+        if not addresses or not self.caught_up:
+            return
+        holder = f'{self.name}/{self.instance}/{next(self.generation)}'
+        witnesses = tuple(pick(holder, addresses, WITNESSES))
+        if not self._append(records.HolderStart(holder, witnesses)):
+            return
+        self.unsure = False
+        old, held = self.escrow.holder, self._held_units()
+        self.escrow.rename(holder, self._new_lease(witnesses))
+        if held:
+            self._append(records.GrantUnits(old, holder, held))
+        self.decide('holder', holder=holder, witnesses=witnesses)
+
+    def _new_lease(self, witnesses: tuple[str, ...]) -> HolderLease:
+        return HolderLease(
+            witnesses,
+            current_instance=self.escrow.book.instance_by_witness.get,
+        )
+
+    def _held_units(self) -> dict[str, int]:
+        held = {
+            workspace: self.escrow.book.units(workspace, self.escrow.holder)
+            for workspace in self.escrow.book.units_by_workspace
+        }
+        return {workspace: units for workspace, units in held.items() if units}
+
+    def _grant(self, receiver: str, wanted: dict[str, int]) -> None:
+        parted = {
+            workspace: self.escrow.part_with(workspace, units)
+            for workspace, units in wanted.items()
+        }
+        granted = {name: units for name, units in parted.items() if units}
+        if not granted:
+            return
+        record = records.GrantUnits(self.escrow.holder, receiver, granted)
+        if not self._append(record):
+            self.unsure = True
+
+    def _ask_witnesses(self) -> None:
+        asks = [
+            gevent.spawn(self._ask_witness, witness)
+            for witness in self.escrow.lease.witnesses
+        ]
+        gevent.joinall(asks)
+
+    def _ask_witness(self, witness: str) -> None:
+        asked_at = self.clock.elapsed()
+        ask_id = new_attempt_id()
+        ask = LeaseAsk(
+            ask_id,
+            InstanceId(self.escrow.holder),
+            to_milliseconds(self.lease_time),
+        )
+        lease = self.escrow.lease
+        promise = self._ask(witness, ask_id, ask)
+        if isinstance(promise, LeasePromise) and promise.granted:
+            lease.renew(
+                witness,
+                promise.instance,
+                asked_at,
+                self.lease_time,
+            )
+
+    def _reclaim(self, dead: str) -> None:
+        names = self._alive_names([*self.peers.by_name, self.name])
+        if pick(dead, names, 1) != [self.name]:
+            return
+        witnesses = self.escrow.book.witnesses_by_holder.get(dead, ())
+        consents = []
+        for witness in witnesses:
+            ask_id = new_attempt_id()
+            ask = ConsentAsk(ask_id, InstanceId(dead))
+            consent = self._ask(witness, ask_id, ask)
+            if isinstance(consent, Consent) and consent.granted:
+                consents.append(
+                    records.ConsentNote(witness, consent.instance),
+                )
+        record = records.ReclaimUnits(
+            dead,
+            self.escrow.holder,
+            tuple(consents),
+        )
+        if self.escrow.book.has_majority(record):
+            appended = self._append(record)
+            self.decide('reclaim', dead=dead, appended=appended)
+
+    def _ask(self, witness: str, ask_id: str, ask: Message) -> Message | None:
+        return self.fleet.link_to(witness).ask(ask_id, ask, ASK_TIMEOUT)
+
+    def _alive_names(self, names: list[str]) -> list[str]:
+        return [
+            name
+            for name in names
+            if name == self.name or self.peers.is_alive(name)
+        ]
+
+    def _append(self, record: records.ShareRecord) -> bool:
+        """Append a record and wait until the book has passed it.
+
+        False when the log gave no offset: the record may still be there,
+        so what it would give away stays unused.
+        """
+        offset = self.log.append(
+            SHARES_STREAM,
+            records.encode_share_record(record),
+        )
+        if not is_successful(offset):
+            return False
+        while self.escrow.book.through_offset <= offset.unwrap():
+            self.clock.sleep(timedelta(milliseconds=10))
+        return True
+
+    def _restore(self) -> None:
+        """Start from the stream's newest usable snapshot, if it has one."""
+        batch = self.log.read(SHARES_STREAM, 0, limit=1)
+        first = 0
+        if not is_successful(batch):
+            first = batch.failure().first_offset
+        if first <= self.escrow.book.through_offset:
+            return
+        offset = first
+        while True:
+            page = self.log.read(SHARES_STREAM, offset)
+            if not is_successful(page) or not page.unwrap().bodies:
+                return
+            self._restore_from(page.unwrap().bodies, first)
+            offset = page.unwrap().next_offset
+
+    def _restore_from(self, bodies: tuple[bytes, ...], first: int) -> None:
+        for body in bodies:
+            try:
+                record = msgspec.json.decode(body, type=records.AnyShareRecord)
+            except msgspec.MsgspecError:
+                continue
+            if not isinstance(record, records.BookSnapshot):
+                continue
+            if record.through_offset >= first:
+                self.escrow.restore(record)
--- /dev/null
+++ b/libs/harness/src/verbenamux_harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts small fleets on loopback for demos, proofs and experiments."""
--- /dev/null
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -0,0 +1,105 @@
+"""Starting, killing, freezing and stopping processes by pid."""
+
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO
+
+STOP_SECONDS = 20
+
+
+@dataclass(slots=True)
+class Process:
+    """One process that the harness started."""
+
+    name: str
+    command: list[str]
+    log_path: Path
+    popen: subprocess.Popen[bytes] | None = None
+    frozen: bool = False
+
+    def start(self) -> None:
+        """Start the process; its output goes to its log file."""
+        with self.log_path.open('ab') as log_file:
+            self.popen = self._spawn(log_file)
+        self.frozen = False
+
+    def kill(self) -> None:
+        """End the process at once, with no chance to clean up."""
+        if self.popen is not None:
+            self.popen.kill()
+            self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it stands."""
+        self._signal(signal.SIGSTOP)
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+        self.frozen = False
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully."""
+        self._signal(signal.SIGTERM)
+
+    def stop(self) -> int | None:
+        """Stop the process gracefully, or kill it; return its exit code."""
+        if self.popen is None:
+            return None
+        if self.frozen:
+            self.thaw()
+        self.terminate()
+        try:
+            return self.popen.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self.popen.returncode
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there, frozen or not."""
+        return self.popen is not None and self.popen.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """The process id of a started process."""
+        if self.popen is None:
+            raise NotStartedError(self.name)
+        return self.popen.pid
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running and self.popen is not None:
+            self.popen.send_signal(number)
+
+    def _spawn(self, log_file: IO[bytes]) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            self.command,
+            stdin=subprocess.DEVNULL,
+            stdout=log_file,
+            stderr=log_file,
+        )
+
+
+class NotStartedError(Exception):
+    """A process was used before it was started."""
+
+
+def program(name: str) -> str:
+    """Return the path of a console script beside this interpreter."""
+    return str(Path(sys.executable).parent / name)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses with ports that are free just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(('127.0.0.1', 0))
+    addresses = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
--- /dev/null
+++ b/libs/load/src/verbenamux_load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, histories and the checker that reads them."""
--- /dev/null
+++ b/libs/load/src/verbenamux_load/plan.py
@@ -0,0 +1,48 @@
+"""What load to send, read from a JSON file."""
+
+import enum
+
+from verbenamux_runtime.settings import Address, Duration, Settings
+
+
+class CallKind(enum.Enum):
+    """The kinds of request that a load sends."""
+
+    CHAT = 'chat'
+    STREAM = 'stream'
+    SERVICE = 'service'
+
+
+class Caller(Settings, frozen=True):
+    """One stream of requests with one key.
+
+    `rate` is requests a second; gaps are drawn from an exponential
+    distribution. `expect` names the outcomes that are right for it.
+    """
+
+    name: str
+    key: str
+    kind: CallKind
+    rate: float
+    model: str = ''
+    path: str = ''
+    method: str = 'POST'
+    prompt_words: int = 32
+    shared_words: int = 0
+    output_tokens: int = 16
+    idempotent: bool | None = None
+    idempotency_keys: bool = False
+    deadline_ms: int | None = None
+    start: Duration = Duration()
+    stop: Duration | None = None
+
+
+class LoadPlan(Settings, frozen=True):
+    """A whole load: who calls which gateways, for how long."""
+
+    gateways: tuple[Address, ...]
+    duration: Duration
+    callers: tuple[Caller, ...]
+    seed: int = 0
+    timeout: Duration = Duration(seconds=90)
+    weights: tuple[float, ...] = ()
--- /dev/null
+++ b/libs/load/src/verbenamux_load/running.py
@@ -0,0 +1,103 @@
+"""Open-loop load: requests leave on time, whatever became of others."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+from gevent.pool import Group
+from geventhttpclient import HTTPClient
+
+from verbenamux_load.history import HistoryWriter, Invocation
+from verbenamux_load.plan import Caller, CallKind, LoadPlan
+from verbenamux_load.prompts import digest_of, make_prompt
+from verbenamux_load.sending import open_client, send_call
+
+
+@dataclass(slots=True)
+class LoadRun:
+    """One run of a plan; times are seconds since its start."""
+
+    plan: LoadPlan
+    history: HistoryWriter = field(default_factory=HistoryWriter)
+    started: float = field(default_factory=time.monotonic)
+    calls: Group = field(default_factory=Group)
+    idle_by_gateway: dict[str, list[HTTPClient]] = field(default_factory=dict)
+
+    def now(self) -> float:
+        """Return seconds since the run started."""
+        return time.monotonic() - self.started
+
+    def run(self) -> None:
+        """Send everything and wait for every answer."""
+        callers = [
+            gevent.spawn(self._call_on, index, caller)
+            for index, caller in enumerate(self.plan.callers)
+        ]
+        gevent.joinall(callers, raise_error=True)
+        self.calls.join()
+
+    def _call_on(self, index: int, caller: Caller) -> None:
+        random = Random(f'{self.plan.seed}/{index}/{caller.name}')
+        for number, due in enumerate(self._departures(caller, random)):
+            pause = due - self.now()
+            if pause > 0:
+                gevent.sleep(pause)
+            call_id = f'{caller.name}-{number}'
+            self.calls.spawn(
+                self._call,
+                caller,
+                call_id,
+                Random(f'{self.plan.seed}/{call_id}'),
+            )
+
+    def _departures(self, caller: Caller, random: Random) -> Iterator[float]:
+        stop = caller.stop or self.plan.duration
+        due = caller.start.total_seconds()
+        while True:
+            due += random.expovariate(caller.rate)
+            if due >= stop.total_seconds():
+                return
+            yield due
+
+    def _call(self, caller: Caller, call_id: str, random: Random) -> None:
+        gateway = self._pick_gateway(random)
+        prompt = make_prompt(
+            call_id,
+            caller.shared_words,
+            caller.prompt_words,
+            random,
+        )
+        self.history.add(
+            Invocation(
+                call_id,
+                caller.name,
+                self.now(),
+                caller.kind.value,
+                caller.model,
+                digest_of(prompt),
+                caller.output_tokens,
+                caller.idempotent is not False,
+                gateway,
+                call_id if caller.idempotency_keys else '',
+            ),
+        )
+        client = self._take_client(gateway)
+        completion = send_call(client, caller, call_id, prompt, self.now)
+        self.history.add(completion)
+        if completion.failure or caller.kind is CallKind.STREAM:
+            client.close()
+        else:
+            self.idle_by_gateway[gateway].append(client)
+
+    def _pick_gateway(self, random: Random) -> str:
+        gateways = self.plan.gateways
+        weights = self.plan.weights or None
+        return random.choices(gateways, weights)[0]
+
+    def _take_client(self, gateway: str) -> HTTPClient:
+        idle = self.idle_by_gateway.setdefault(gateway, [])
+        if idle:
+            return idle.pop()
+        return open_client(gateway, self.plan.timeout)
--- /dev/null
+++ b/libs/load/src/verbenamux_load/sending.py
@@ -0,0 +1,194 @@
+"""Sending one request and reading its answer to the end."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
+
+from verbenamux_load.history import Completion
+from verbenamux_load.plan import Caller, CallKind
+
+OK = 200
+CHAT_PATH = '/v1/chat/completions'
+FRAME_END = b'\n\n'
+DONE = b'data: [DONE]'
+ERROR_EVENT = b'event: error'
+NETWORK_ERRORS = (OSError, HTTPConnectionClosed, HTTPParseError)
+
+
+@dataclass(slots=True)
+class Received:
+    """An answer as far as it has come."""
+
+    status: int = 0
+    first_token: float | None = None
+    text: str = ''
+    done: bool = False
+    error: dict[str, Any] | None = None
+    request_id: str = ''
+    retry_after: str = ''
+    tokens: int = 0
+    failure: str = ''
+
+
+def send_call(
+    client: HTTPClient,
+    caller: Caller,
+    call_id: str,
+    prompt: str,
+    now: Callable[[], float],
+) -> Completion:
+    """Send a request and return how it ended for the caller."""
+    received = Received()
+    try:
+        _exchange(client, caller, call_id, prompt, now, received)
+    except (*NETWORK_ERRORS, msgspec.MsgspecError) as error:
+        received.failure = repr(error)
+    error_body = received.error or {}
+    return Completion(
+        call_id,
+        now(),
+        received.status,
+        received.first_token,
+        received.text,
+        received.done,
+        error_body.get('run', ''),
+        error_body.get('code', ''),
+        received.request_id,
+        received.retry_after,
+        received.tokens,
+        received.failure,
+    )
+
+
+def open_client(address: str, timeout: timedelta) -> HTTPClient:
+    """Return a client of one gateway, with a connection for each call."""
+    host, _, port = address.rpartition(':')
+    return HTTPClient(
+        host,
+        int(port),
+        connection_timeout=timeout.total_seconds(),
+        network_timeout=timeout.total_seconds(),
+        concurrency=1,
+    )
+
+
+def _exchange(
+    client: HTTPClient,
+    caller: Caller,
+    call_id: str,
+    prompt: str,
+    now: Callable[[], float],
+    received: Received,
+) -> None:
+    method, path = _target(caller)
+    response = client.request(
+        method,
+        path,
+        _body(caller, prompt),
+        _headers(caller, call_id),
+    )
+    received.status = response.status_code
+    received.request_id = str(response.get('x-request-id', ''))
+    received.retry_after = str(response.get('retry-after', ''))
+    if received.status == OK:
+        _read_answer(response, caller, now, received)
+    else:
+        received.error = _error_of(bytes(response.read()))
+
+
+def _read_answer(
+    response: Any,
+    caller: Caller,
+    now: Callable[[], float],
+    received: Received,
+) -> None:
+    if caller.kind is CallKind.STREAM:
+        _read_stream(response, now, received)
+    else:
+        _read_whole(response, caller, now, received)
+
+
+def _target(caller: Caller) -> tuple[str, str]:
+    if caller.kind is CallKind.SERVICE:
+        return caller.method, caller.path
+    return 'POST', CHAT_PATH
+
+
+def _body(caller: Caller, prompt: str) -> bytes:
+    if caller.kind is CallKind.SERVICE:
+        return prompt.encode()
+    return msgspec.json.encode(
+        {
+            'model': caller.model,
+            'messages': [{'role': 'user', 'content': prompt}],
+            'max_tokens': caller.output_tokens,
+            'stream': caller.kind is CallKind.STREAM,
+        },
+    )
+
+
+def _headers(caller: Caller, call_id: str) -> dict[str, str]:
+    headers = {'Content-Type': 'application/json'}
+    if caller.key:
+        headers['Authorization'] = f'Bearer {caller.key}'
+    if caller.idempotent is not None:
+        headers['Verbenamux-Idempotent'] = str(caller.idempotent).lower()
+    if caller.idempotency_keys:
+        headers['Idempotency-Key'] = call_id
+    if caller.deadline_ms is not None:
+        headers['Verbenamux-Deadline-Ms'] = str(caller.deadline_ms)
+    return headers
+
+
+def _read_stream(
+    response: Any,
+    now: Callable[[], float],
+    received: Received,
+) -> None:
+    texts = []
+    while frame := bytes(response.readline(FRAME_END)):
+        if received.first_token is None:
+            received.first_token = now()
+        if frame.startswith(ERROR_EVENT):
+            received.error = _error_of(frame.partition(b'data: ')[2])
+            break
+        if frame.startswith(DONE):
+            received.done = True
+            break
+        event = msgspec.json.decode(frame.partition(b'data: ')[2])
+        texts.append(event['choices'][0]['delta'].get('content', ''))
+        received.tokens = _total(event, received.tokens)
+    received.text = ''.join(texts)
+
+
+def _read_whole(
+    response: Any,
+    caller: Caller,
+    now: Callable[[], float],
+    received: Received,
+) -> None:
+    body = bytes(response.read())
+    received.first_token = now()
+    received.done = True
+    decoded = msgspec.json.decode(body)
+    if caller.kind is CallKind.SERVICE:
+        received.text = decoded['echo']
+        return
+    received.text = decoded['choices'][0]['message']['content']
+    received.tokens = _total(decoded, 0)
+
+
+def _total(event: dict[str, Any], before: int) -> int:
+    usage = event.get('usage')
+    return int(usage['total_tokens']) if usage else before
+
+
+def _error_of(body: bytes) -> dict[str, Any]:
+    decoded = msgspec.json.decode(body)
+    error: dict[str, Any] = decoded.get('error', {})
+    return error
--- /dev/null
+++ b/libs/load/src/verbenamux_load/summary.py
@@ -0,0 +1,98 @@
+"""A history in figures: outcomes and latency by caller."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from verbenamux_load.history import Completion, HistoryLine, Invocation
+from verbenamux_load.prompts import digest_of, whole_answer
+
+LOWEST = 1
+HIGHEST_MICROSECONDS = 600_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+OK = 200
+
+
+@dataclass(slots=True)
+class CallerSummary:
+    """One caller's outcomes and its times to first token."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    first_tokens: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(
+            LOWEST,
+            HIGHEST_MICROSECONDS,
+            DIGITS,
+        ),
+    )
+
+    def quantile_ms(self, percent: float) -> float:
+        """Return a quantile of the time to first token."""
+        micros = self.first_tokens.get_value_at_percentile(percent)
+        return float(micros) / 1000
+
+
+def summarize(lines: Iterable[HistoryLine]) -> dict[str, CallerSummary]:
+    """Return a summary for each caller, by name."""
+    by_caller: dict[str, CallerSummary] = defaultdict(CallerSummary)
+    for invoked, completed in pair(lines):
+        summary = by_caller[invoked.caller]
+        summary.outcomes[outcome_of(invoked, completed)] += 1
+        if completed is not None and completed.first_token is not None:
+            elapsed = completed.first_token - invoked.time
+            summary.first_tokens.record_value(
+                max(LOWEST, int(elapsed * MICROSECONDS)),
+            )
+    return dict(by_caller)
+
+
+def pair(
+    lines: Iterable[HistoryLine],
+) -> Iterator[tuple[Invocation, Completion | None]]:
+    """Yield each invocation with its completion, if it has one."""
+    invoked: dict[str, Invocation] = {}
+    completed: dict[str, Completion] = {}
+    for line in lines:
+        if isinstance(line, Invocation):
+            invoked[line.call_id] = line
+        else:
+            completed[line.call_id] = line
+    for call_id, invocation in invoked.items():
+        yield invocation, completed.get(call_id)
+
+
+def outcome_of(invoked: Invocation, completed: Completion | None) -> str:
+    """Return one word for how a call ended."""
+    if completed is None or completed.failure:
+        return 'cut_off'
+    if completed.code:
+        return completed.code
+    if completed.status != OK or not completed.done:
+        return 'cut_off'
+    return 'whole' if is_whole(invoked, completed) else 'wrong_answer'
+
+
+def is_whole(invoked: Invocation, completed: Completion) -> bool:
+    """Tell whether the answer is all of the right one."""
+    if invoked.kind == 'service':
+        return digest_of(completed.text) == invoked.prompt_digest
+    expected = whole_answer(invoked.prompt_digest, invoked.output_tokens)
+    return completed.text == expected
+
+
+def table(summaries: dict[str, CallerSummary]) -> Iterator[str]:
+    """Yield the lines of a table for people."""
+    yield f'{"caller":<18}{"calls":>7}{"p50 ms":>9}{"p95 ms":>9}  outcomes'
+    for name, summary in sorted(summaries.items()):
+        told = ', '.join(
+            f'{outcome} {count}'
+            for outcome, count in summary.outcomes.most_common()
+        )
+        yield (
+            f'{name:<18}{summary.outcomes.total():>7}'
+            f'{summary.quantile_ms(50):>9.1f}'
+            f'{summary.quantile_ms(95):>9.1f}  {told}'
+        )
--- /dev/null
+++ b/libs/placement/src/verbenamux_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Memory ledger, pins, fair queue and the planner."""
--- /dev/null
+++ b/libs/routing/src/verbenamux_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing a target: scores, breakers, retry budget, baselines."""
--- /dev/null
+++ b/libs/routing/src/verbenamux_routing/views.py
@@ -0,0 +1,164 @@
+"""What a gateway knows of each target, from late and partial reports."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from verbenamux_config.entities import Target, TargetKind
+from verbenamux_contracts.messages import Heartbeat
+
+from verbenamux_routing.breaker import Breaker
+
+PREFIXES_KEPT = 4096
+DEFAULT_PREFILL_RATE = 4000
+DEFAULT_DECODE_MS = 20
+
+
+@dataclass(slots=True)
+class Load:
+    """The last load report of a target and what was sent since.
+
+    Tokens are prompt plus reserved output; rates are tokens a second.
+    """
+
+    reported_at: timedelta | None = None
+    queued_tokens: int = 0
+    running: int = 0
+    slots: int = 1
+    prefill_rate: int = DEFAULT_PREFILL_RATE
+    decode_ms: int = DEFAULT_DECODE_MS
+    sent_tokens: int = 0
+    outstanding: int = 0
+
+
+@dataclass(slots=True)
+class TargetView:
+    """One target as this gateway sees it."""
+
+    target: Target
+    breaker: Breaker
+    instance: str = ''
+    leaving_instance: str | None = None
+    alive: bool = False
+    heard_at: timedelta | None = None
+    free_mb: int = 0
+    version_by_model: dict[str, str] = field(default_factory=dict)
+    adapters: frozenset[str] = frozenset()
+    load: Load = field(default_factory=Load)
+    latency: timedelta = timedelta()
+    prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    prefixes_trusted: bool = True
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may go there at all."""
+        return self.alive and not self.leaving
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this very instance was marked as leaving."""
+        return self.leaving_instance == self.instance
+
+    def learn_prefixes(self, blocks: Iterable[int]) -> None:
+        """Note blocks that the target is believed to have cached."""
+        for block in blocks:
+            self.prefixes[block] = None
+            self.prefixes.move_to_end(block)
+        while len(self.prefixes) > PREFIXES_KEPT:
+            self.prefixes.popitem(last=False)
+
+    def cached_blocks(self, blocks: Sequence[int]) -> int:
+        """Return how many leading blocks are believed to be cached."""
+        hits = 0
+        for block in blocks:
+            if block not in self.prefixes:
+                break
+            hits += 1
+        return hits
+
+
+class ViewTable:
+    """All targets, indexed so that choosing never walks the fleet."""
+
+    def __init__(self) -> None:
+        """Start with no targets."""
+        self.by_name: dict[str, TargetView] = {}
+        self._names_by_model: dict[str, list[str]] = {}
+        self._names_by_service: dict[str, list[str]] = {}
+
+    def replace_targets(
+        self,
+        targets: Iterable[Target],
+        new_breaker: type[Breaker] = Breaker,
+    ) -> None:
+        """Follow the configuration; what is known of the rest stays."""
+        kept = self.by_name
+        self.by_name = {}
+        for target in targets:
+            view = kept.get(target.name)
+            if view is None:
+                view = TargetView(target, new_breaker())
+            view.target = target
+            self.by_name[target.name] = view
+        self.reindex()
+
+    def learn(self, heartbeat: Heartbeat, now: timedelta) -> None:
+        """Take in an agent's report; unknown targets are ignored."""
+        view = self.by_name.get(heartbeat.target)
+        if view is None:
+            return
+        models = {row.name: row.version for row in heartbeat.resident}
+        changed = models != view.version_by_model
+        _update(view, heartbeat, now)
+        view.version_by_model = models
+        if changed:
+            self.reindex()
+
+    def serving_model(self, model: str) -> list[str]:
+        """Return the names of targets that hold a model ready."""
+        return self._names_by_model.get(model, [])
+
+    def serving_service(self, service: str) -> list[str]:
+        """Return the names of targets of a plain service."""
+        return self._names_by_service.get(service, [])
+
+    def reindex(self) -> None:
+        """Build the indexes anew; called when residents change."""
+        self._names_by_model = {}
+        self._names_by_service = {}
+        for name, view in self.by_name.items():
+            for model in view.version_by_model:
+                self._names_by_model.setdefault(model, []).append(name)
+            if view.target.kind is TargetKind.SERVICE:
+                self._names_by_service.setdefault(
+                    view.target.service,
+                    [],
+                ).append(name)
+
+
+def _update(view: TargetView, heartbeat: Heartbeat, now: timedelta) -> None:
+    if heartbeat.instance != view.instance:
+        view.instance = heartbeat.instance
+        view.load = Load()
+        view.prefixes.clear()
+    if heartbeat.leaving:
+        view.leaving_instance = heartbeat.instance
+    view.alive = True
+    view.heard_at = now
+    view.free_mb = heartbeat.free_mb
+    view.adapters = frozenset(heartbeat.adapters)
+    view.prefixes_trusted = heartbeat.prefixes_trusted
+    if not heartbeat.prefixes_trusted:
+        view.prefixes.clear()
+    view.learn_prefixes(heartbeat.prefixes)
+    load = view.load
+    load.reported_at = now
+    load.queued_tokens = heartbeat.queued_tokens
+    load.running = heartbeat.running
+    load.slots = max(1, heartbeat.slots)
+    load.prefill_rate = (
+        heartbeat.prefill_tokens_per_second or DEFAULT_PREFILL_RATE
+    )
+    load.decode_ms = heartbeat.decode_ms or DEFAULT_DECODE_MS
+    load.sent_tokens = 0
--- /dev/null
+++ b/libs/runtime/src/verbenamux_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every program shares: settings, logs, metrics, peers, HTTP server."""
--- /dev/null
+++ b/libs/standin/src/verbenamux_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of engine, service, log, weight store and host list."""
--- /dev/null
+++ b/libs/standin/src/verbenamux_standin/engine.py
@@ -0,0 +1,212 @@
+"""The stand-in of a model engine with continuous batching."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+from verbenamux_contracts.clock import Clock, milliseconds
+
+from verbenamux_standin.generation import (
+    BLOCK_WORDS,
+    DONE,
+    Attempt,
+    CompletionBody,
+    count_words,
+    last_event,
+    prefix_hashes,
+    prompt_digest,
+    token_event,
+    token_text,
+)
+from verbenamux_standin.history import History
+from verbenamux_standin.web import Faults, Request
+
+READER_WAIT = timedelta(seconds=1)
+
+
+class EnginePace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How fast an engine is and how much it holds."""
+
+    slots: int
+    prefill_tokens_per_second: int
+    decode_ms: int
+    cache_blocks: int
+
+
+@dataclass(slots=True)
+class CacheEvent:
+    """One change of the prefix cache; the sequence shows gaps."""
+
+    sequence: int
+    block: int
+    stored: bool
+
+
+class PrefixCache:
+    """Prompt blocks kept in limited memory, oldest out first."""
+
+    def __init__(self, capacity: int, faults: Faults) -> None:
+        """Start empty."""
+        self.events: deque[CacheEvent] = deque(maxlen=4 * capacity + 1)
+        self._capacity = capacity
+        self._faults = faults
+        self._sequence = 0
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def blocks(self) -> list[int]:
+        """Return the hashes of all blocks kept."""
+        return list(self._blocks)
+
+    def lookup(self, hashes: list[int]) -> int:
+        """Return how many leading blocks are kept."""
+        hits = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            hits += 1
+        return hits
+
+    def store(self, hashes: list[int]) -> None:
+        """Keep blocks and drop the oldest beyond capacity."""
+        for block in hashes:
+            if block not in self._blocks:
+                self._publish(block, stored=True)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            dropped, _ = self._blocks.popitem(last=False)
+            self._publish(dropped, stored=False)
+
+    def _publish(self, block: int, *, stored: bool) -> None:
+        self._sequence += 1
+        if self._faults.drop_cache_events:
+            self._faults.drop_cache_events -= 1
+            return
+        self.events.append(CacheEvent(self._sequence, block, stored))
+
+
+class Generator:
+    """Runs attempts in a limited number of slots."""
+
+    def __init__(
+        self,
+        pace: EnginePace,
+        clock: Clock,
+        history: History,
+        faults: Faults,
+    ) -> None:
+        """Start with nothing running."""
+        self.attempt_by_id: dict[str, Attempt] = {}
+        self.tombstones: set[str] = set()
+        self.running = 0
+        self.waiting = 0
+        self.cache = PrefixCache(pace.cache_blocks, faults)
+        self._pace = pace
+        self._clock = clock
+        self._history = history
+        self._faults = faults
+        self._slots = BoundedSemaphore(pace.slots)
+        self._prefill = BoundedSemaphore(1)
+
+    def start(
+        self,
+        request: Request,
+        body: CompletionBody,
+        *,
+        chat: bool,
+    ) -> Attempt:
+        """Begin an attempt; it runs whether or not it is read."""
+        attempt_id = request.header_by_name.get('x-request-id', '')
+        first = int(request.header_by_name.get('x-continue-from', '0'))
+        attempt = Attempt(attempt_id, body, chat, first)
+        self.attempt_by_id[attempt_id] = attempt
+        gevent.spawn(self._run, attempt, request)
+        return attempt
+
+    def cancel(self, attempt_id: str) -> str:
+        """Stop an attempt for good and tell whether it had run."""
+        self.tombstones.add(attempt_id)
+        attempt = self.attempt_by_id.get(attempt_id)
+        if attempt is None or not attempt.started:
+            if attempt is not None:
+                attempt.cancelled = True
+            return 'not_run'
+        attempt.cancelled = True
+        attempt.wake()
+        return 'ran'
+
+    def read(self, attempt: Attempt, start: int) -> Iterator[bytes]:
+        """Yield a stream's events from a number on, as they come."""
+        index = max(0, start - attempt.first)
+        sent = 0
+        while True:
+            while index < len(attempt.events):
+                self._maybe_cut(sent)
+                yield _frame(attempt.first + index, attempt.events[index])
+                index += 1
+                sent += 1
+            if attempt.finished or attempt.cancelled:
+                break
+            attempt.grown.wait(READER_WAIT.total_seconds())
+        if attempt.finished:
+            yield b'data: ' + DONE + b'\n\n'
+
+    def _maybe_cut(self, sent: int) -> None:
+        limit = self._faults.cut_after_chunks
+        if limit and sent >= limit:
+            self._faults.cut_after_chunks = 0
+            raise ConnectionAbortedError
+
+    def _run(self, attempt: Attempt, request: Request) -> None:
+        self.waiting += 1
+        with self._slots:
+            self.waiting -= 1
+            if attempt.cancelled:
+                attempt.wake()
+                return
+            attempt.started = True
+            self.running += 1
+            self._history.start(attempt.attempt_id, request)
+            self._generate(attempt)
+            self._history.finish(attempt.attempt_id)
+            self.running -= 1
+
+    def _generate(self, attempt: Attempt) -> None:
+        text = attempt.body.text
+        self._fill(text)
+        digest = prompt_digest(text)
+        name = self._event_name(attempt)
+        last = attempt.body.max_tokens
+        for index in range(attempt.first, last):
+            if attempt.cancelled:
+                return
+            self._clock.sleep(milliseconds(self._pace.decode_ms))
+            piece = token_text(digest, index)
+            attempt.publish(token_event(attempt, name, piece))
+        attempt.publish(last_event(attempt, name, last))
+        attempt.finished = True
+        attempt.wake()
+
+    def _fill(self, text: str) -> None:
+        hashes = list(prefix_hashes(text))
+        with self._prefill:
+            cached = self.cache.lookup(hashes) * BLOCK_WORDS
+            fresh = max(0, count_words(text) - cached)
+            seconds = fresh / self._pace.prefill_tokens_per_second
+            self._clock.sleep(timedelta(seconds=seconds))
+            self.cache.store(hashes)
+
+    def _event_name(self, attempt: Attempt) -> str:
+        if not self._faults.cross_answers:
+            return attempt.attempt_id
+        self._faults.cross_answers -= 1
+        return f'crossed-{attempt.attempt_id}'
+
+
+def _frame(index: int, event: bytes) -> bytes:
+    return b'id: %d\ndata: %s\n\n' % (index, event)
--- /dev/null
+++ b/libs/standin/src/verbenamux_standin/web.py
@@ -0,0 +1,151 @@
+"""A small HTTP surface shared by all stand-ins, with fault switches."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from verbenamux_runtime.webserver import (
+    Application,
+    Environ,
+    StartResponse,
+    reason_phrase,
+)
+
+OK = 200
+ACCEPTED = 202
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+INSUFFICIENT_STORAGE = 507
+MILLISECONDS = 1000
+FAULTS_PATH = '/faults'
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Switches that make a stand-in misbehave.
+
+    `lose_answers` and `refuse` count down, one a request; `cross_answers`
+    counts streams whose events carry another attempt's name.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    refuse: int = 0
+    cross_answers: int = 0
+    cut_after_chunks: int = 0
+    lose_orders: int = 0
+    drop_cache_events: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request to a stand-in."""
+
+    method: str
+    path: str
+    query_by_name: dict[str, str]
+    header_by_name: dict[str, str]
+    body: bytes
+
+    def integer(self, name: str, default: int = 0) -> int:
+        """Return a query parameter as a number."""
+        return int(self.query_by_name.get(name, default))
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """One answer of a stand-in."""
+
+    status: int = OK
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = field(default=())
+    pieces: Iterable[bytes] | None = None
+
+
+Route = Callable[[Request], Reply]
+
+
+class AnswerLostError(Exception):
+    """Makes the server drop the connection without an answer."""
+
+
+def json_reply(body: Any, status: int = OK) -> Reply:
+    """Return an answer with a JSON body."""
+    return Reply(
+        status,
+        msgspec.json.encode(body),
+        (('Content-Type', 'application/json'),),
+    )
+
+
+def make_application(route: Route, faults: Faults) -> Application:
+    """Return a WSGI application around a route and its fault switches."""
+
+    def application(
+        environ: Environ,
+        start: StartResponse,
+    ) -> Iterable[bytes]:
+        request = _read_request(environ)
+        if request.path == FAULTS_PATH:
+            reply = _switch(faults, request)
+        else:
+            reply = _answer(route, faults, request)
+        start(reason_phrase(reply.status), list(reply.headers))
+        if reply.pieces is None:
+            return [reply.body]
+        return _guard(reply.pieces)
+
+    return application
+
+
+def _answer(route: Route, faults: Faults, request: Request) -> Reply:
+    if faults.down:
+        raise AnswerLostError
+    if faults.delay_ms:
+        gevent.sleep(faults.delay_ms / MILLISECONDS)
+    if faults.refuse:
+        faults.refuse -= 1
+        raise AnswerLostError
+    reply = route(request)
+    if faults.lose_answers:
+        faults.lose_answers -= 1
+        raise AnswerLostError
+    return reply
+
+
+def _guard(pieces: Iterable[bytes]) -> Iterator[bytes]:
+    yield from pieces
+
+
+def _switch(faults: Faults, request: Request) -> Reply:
+    if request.method == 'GET':
+        return json_reply(faults)
+    try:
+        wanted = msgspec.json.decode(request.body, type=Faults)
+    except msgspec.MsgspecError as error:
+        return json_reply({'message': str(error)}, BAD_REQUEST)
+    for name in Faults.__struct_fields__:
+        setattr(faults, name, getattr(wanted, name))
+    return json_reply(faults)
+
+
+def _read_request(environ: Environ) -> Request:
+    headers = {
+        name[len('HTTP_') :].replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    headers['content-type'] = environ.get('CONTENT_TYPE', '')
+    query = parse_qs(environ.get('QUERY_STRING', ''))
+    return Request(
+        environ['REQUEST_METHOD'],
+        environ['PATH_INFO'],
+        {name: texts[0] for name, texts in query.items()},
+        headers,
+        environ['wsgi.input'].read(),
+    )
