--- a/libs/admission/src/verbenamux_admission/escrow.py
+++ b/libs/admission/src/verbenamux_admission/escrow.py
@@ -32,6 +32,19 @@
     lender: str = ''
 
 
+@dataclass(slots=True)
+class Surplus:
+    """Balance above the cap, left over from units that moved away.
+
+    It drains as fast as the moved units earn at their receiver, so the
+    two together never hold more than the units' burst.
+    """
+
+    micros: int
+    units: int
+    since: timedelta
+
+
 @dataclass(slots=True)
 class Bucket:
     """Balance and loans of one workspace, in millionths of a token.
@@ -46,6 +59,7 @@
     refilled_at: timedelta = timedelta()
     lent: list[Loan] = field(default_factory=list)
     borrowed: list[Loan] = field(default_factory=list)
+    surplus: list[Surplus] = field(default_factory=list)
 
     @property
     def usable_units(self) -> int:
@@ -90,13 +104,23 @@
         self.adjust(set(self.book.units_by_workspace))
 
     def rename(self, holder: str, lease: HolderLease) -> None:
-        """Go on under a fresh holder name, which holds nothing yet."""
-        self.holder = holder
-        self.lease = lease
-        for bucket in self._bucket_by_workspace.values():
+        """Go on under a fresh holder name, which holds nothing yet.
+
+        Balances stay only if the old name's lease is still valid: after
+        that another holder may have taken the units over.
+        """
+        keeps = self.lease.is_valid(self._clock.elapsed())
+        for workspace, bucket in self._bucket_by_workspace.items():
+            self._refill(workspace)
+            if keeps:
+                self._keep_surplus(workspace, bucket, bucket.usable_units)
+            else:
+                bucket.balance = 0
+                bucket.surplus.clear()
             bucket.units = 0
             bucket.pending_units = 0
-            bucket.balance = 0
+        self.holder = holder
+        self.lease = lease
         self.adjust(set(self.book.units_by_workspace))
 
     def adjust(self, claimed_before: set[str]) -> None:
@@ -175,15 +199,11 @@
         """
         bucket = self._refill(workspace)
         parted = min(units, bucket.usable_units)
+        self._keep_surplus(workspace, bucket, parted)
         bucket.pending_units += parted
         self._trim(workspace, bucket)
         return parted
 
-    def keep_after_all(self, workspace: str, units: int) -> None:
-        """Use units again after a grant that the log surely lacks."""
-        bucket = self._refill(workspace)
-        bucket.pending_units = max(0, bucket.pending_units - units)
-
     def wait_for(self, workspace: str, tokens: int) -> timedelta:
         """Return how long the whole fleet needs to earn what lacks."""
         limits = self._limits_of(workspace)
@@ -212,6 +232,9 @@
         bucket.lent = [loan for loan in bucket.lent if loan.until > now]
         bucket.borrowed = [loan for loan in bucket.borrowed if loan.until > now]
         if limits is not None:
+            bucket.surplus = [
+                each for each in bucket.surplus if self._left(limits, each)
+            ]
             earned = limits.rate * bucket.usable_units * micros // WHOLE
             bucket.balance += earned
         self._trim(workspace, bucket)
@@ -222,7 +245,26 @@
         if limits is None:
             return 0
         whole = limits.burst * MICRO * bucket.usable_units // WHOLE
-        return whole - sum(loan.micros for loan in bucket.lent)
+        surplus = sum(self._left(limits, each) for each in bucket.surplus)
+        return whole + surplus - sum(loan.micros for loan in bucket.lent)
+
+    def _keep_surplus(
+        self,
+        workspace: str,
+        bucket: Bucket,
+        units: int,
+    ) -> None:
+        limits = self._limits_of(workspace)
+        if limits is None or not units:
+            return
+        micros = limits.burst * MICRO * units // WHOLE
+        now = self._clock.elapsed()
+        bucket.surplus.append(Surplus(micros, units, now))
+
+    def _left(self, limits: Limits, surplus: Surplus) -> int:
+        age = (self._clock.elapsed() - surplus.since) // _MICROSECOND
+        drained = -(-limits.rate * surplus.units * age // WHOLE)
+        return max(0, surplus.micros - drained)
 
     def _trim(self, workspace: str, bucket: Bucket) -> None:
         bucket.balance = min(bucket.balance, self._cap(workspace, bucket))
--- a/libs/agent/src/verbenamux_agent/cli.py
+++ b/libs/agent/src/verbenamux_agent/cli.py
@@ -116,7 +116,12 @@
             log.write,
         ),
         prefixes=PrefixFollower(client),
-        witness=Witness(settings.address, instance, settings.lease, clock),
+        witness=Witness(
+            settings.known_as or settings.address,
+            instance,
+            settings.lease,
+            clock,
+        ),
         subscribers=SubscriberTable(clock, server.send),
         server=server,
     )
--- a/libs/agent/src/verbenamux_agent/settings.py
+++ b/libs/agent/src/verbenamux_agent/settings.py
@@ -26,13 +26,18 @@
 
 
 class AgentSettings(Settings, frozen=True):
-    """Everything an agent is told at its start."""
+    """Everything an agent is told at its start.
+
+    It binds `address`; `known_as` is its address in the configuration,
+    where that is another one.
+    """
 
     name: str
     address: Address
     data_centre: str
     target: TargetSettings
     log: Address
+    known_as: Address | None = None
     lease: Duration = Duration(seconds=10)
     heartbeat: Duration = Duration(milliseconds=200)
     report: Duration = Duration(milliseconds=100)
--- a/libs/gateway/src/verbenamux_gateway/build.py
+++ b/libs/gateway/src/verbenamux_gateway/build.py
@@ -23,7 +23,7 @@
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.peering import PeerTable, PeerView
 from verbenamux_gateway.planning import PlannerDuty
-from verbenamux_gateway.rates import EscrowGate, FixedGate, RateGate
+from verbenamux_gateway.rates import EscrowGate, FixedGate, RateGate, SpendMeter
 from verbenamux_gateway.settings import GatewaySettings, RatePolicy
 from verbenamux_gateway.shares import ShareKeeper
 
@@ -55,7 +55,13 @@
     fleet = Fleet(instance, clock, on_ask)
     peers = PeerTable(settings.name, instance, clock, receive)
     escrow = Escrow('', clock, limits_of, HolderLease())
-    escrow_gate = EscrowGate(escrow, peers, clock, limits_of)
+    escrow_gate = EscrowGate(
+        escrow,
+        peers,
+        clock,
+        limits_of,
+        SpendMeter(clock),
+    )
     gateway = Gateway(
         settings=settings,
         instance=instance,
--- a/libs/gateway/src/verbenamux_gateway/rates.py
+++ b/libs/gateway/src/verbenamux_gateway/rates.py
@@ -16,8 +16,10 @@
 from verbenamux_gateway.peering import PeerTable
 
 ASK_TIMEOUT = timedelta(milliseconds=300)
-ASK_AHEAD = timedelta(milliseconds=500)
+ASK_PARTS = 8
+METER_WINDOW = timedelta(seconds=1)
 HOLDERS_ASKED_MOST = 8
+FEWEST_UNITS_MOVED = WHOLE // 100
 
 LimitsOf = Callable[[str], Limits | None]
 
@@ -36,6 +38,35 @@
         """Give back what was reserved and not used."""
 
 
+@dataclass(slots=True)
+class SpendMeter:
+    """Tokens that each workspace spent here in the last full window."""
+
+    clock: Clock
+    since: timedelta = timedelta()
+    last: Counter[str] = field(default_factory=Counter)
+    present: Counter[str] = field(default_factory=Counter)
+
+    def add(self, workspace: str, tokens: int) -> None:
+        """Count tokens."""
+        self._roll()
+        self.present[workspace] += tokens
+
+    def recent(self, workspace: str) -> int:
+        """Return the tokens of a window, the fuller of the last two."""
+        self._roll()
+        return max(self.last[workspace], self.present[workspace])
+
+    def _roll(self) -> None:
+        now = self.clock.elapsed()
+        if now - self.since < METER_WINDOW:
+            return
+        fresh = now - self.since < 2 * METER_WINDOW
+        self.last = self.present if fresh else Counter()
+        self.present = Counter()
+        self.since = now
+
+
 @dataclass(slots=True)
 class EscrowGate:
     """Spends from the escrow, and asks the holders of units for more."""
@@ -44,6 +75,7 @@
     peers: PeerTable
     clock: Clock
     limits_of: LimitsOf
+    meter: SpendMeter
     spent: Counter[str] = field(default_factory=Counter)
     lent: defaultdict[str, Counter[str]] = field(
         default_factory=lambda: defaultdict(Counter),
@@ -90,7 +122,7 @@
             held = self.escrow.book.units(workspace, self.escrow.holder)
             for peer_name, lent in by_peer.items():
                 units = held * lent // (2 * max(1, total))
-                if units * 100 > WHOLE:
+                if units >= FEWEST_UNITS_MOVED:
                     moves[peer_name][workspace] = units
         self.lent.clear()
         self.spent.clear()
@@ -100,6 +132,7 @@
         taken = self.escrow.take(workspace, tokens)
         if taken:
             self.spent[workspace] += tokens
+            self.meter.add(workspace, tokens)
         return taken
 
     def _lenders(self, workspace: str) -> list[str]:
@@ -121,7 +154,7 @@
         peer = self.peers.by_name.get(peer_name)
         if peer is None:
             return
-        ahead = int(limits.rate * ASK_AHEAD.total_seconds())
+        ahead = min(self.meter.recent(workspace), limits.burst // ASK_PARTS)
         missing = self.escrow.missing(workspace, tokens)
         ask_id = new_attempt_id()
         ask = TokensAsk(
--- /dev/null
+++ b/libs/harness/src/verbenamux_harness/cli.py
@@ -0,0 +1,82 @@
+"""The command line of the harness."""
+
+import signal
+import tempfile
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from verbenamux_harness.demo import run_demo
+from verbenamux_harness.fleet import running
+from verbenamux_harness.proving import choose, markdown, prove
+from verbenamux_harness.shapes import SHAPE_BY_NAME
+
+app = typer.Typer(
+    help='Small fleets on loopback: demo, proofs, experiments.',
+    no_args_is_help=True,
+)
+SCENARIOS = Path('scenarios')
+
+
+@app.command()
+def demo() -> None:
+    """Run the demo and print a table of what happened.
+
+    Exits 1 when a promise that it can see was broken.
+    """
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-demo-'))
+    verdict, lines = run_demo(folder)
+    for line in lines:
+        typer.echo(line)
+    typer.echo(f'logs and history: {folder}')
+    if not verdict.kept:
+        raise typer.Exit(1)
+
+
+@app.command()
+def up(shape: str = 'nakhla') -> None:
+    """Start a small fleet, print a curl line, and run until interrupted."""
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-up-'))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with running(SHAPE_BY_NAME[shape](), folder) as fleet:
+        workspace = fleet.shape.workspaces[0]
+        key = fleet.key_by_workspace[workspace.name]
+        body = (
+            f'{{"model": "{workspace.models[0]}", "stream": true, '
+            '"messages": [{"role": "user", "content": "hello"}]}'
+        )
+        typer.echo(
+            f'curl -N {fleet.url("gateway-0")}/v1/chat/completions '
+            f"-H 'Authorization: Bearer {key}' "
+            f"-H 'Content-Type: application/json' -d '{body}'",
+        )
+        typer.echo(f'logs: {folder}; stop with Ctrl-C')
+        try:
+            while True:
+                time.sleep(1)
+        except KeyboardInterrupt:
+            typer.echo('stopping')
+
+
+@app.command('prove')
+def prove_command(
+    names: Annotated[list[str] | None, typer.Argument()] = None,
+    scenarios: Path = SCENARIOS,
+) -> None:
+    """Run scenarios with and without their mechanisms; print a table."""
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-prove-'))
+    rows = []
+    for row in prove(choose(names or [], scenarios), folder):
+        rows.append(row)
+        typer.echo(f'{row.scenario} {row.mutant}: {row.told}', err=True)
+    for line in markdown(rows):
+        typer.echo(line)
+    if not all(row.passed for row in rows):
+        raise typer.Exit(1)
+
+
+def main() -> None:
+    """Run the console script."""
+    app()
--- a/libs/harness/src/verbenamux_harness/fleet.py
+++ b/libs/harness/src/verbenamux_harness/fleet.py
@@ -127,6 +127,11 @@
         body = msgspec.json.encode(switches)
         call('PUT', f'{self.url(name)}/faults', body)
 
+    def cut(self, *lines: str, delay_ms: int = 0) -> None:
+        """Cut a gateway's line to the log or a target's line to gateways."""
+        body = msgspec.json.encode({'lines': lines, 'delay_ms': delay_ms})
+        call('PUT', f'{self.url("relay")}/cuts', body)
+
     def history(self, name: str) -> list[dict[str, Any]]:
         """Return what a target's stand-in wrote."""
         body = call('GET', f'{self.url(name)}/history').body
@@ -185,6 +190,7 @@
     def _assign_addresses(self) -> None:
         targets = [*self.engines, *self.services]
         names = [
+            'relay',
             'log',
             'store',
             'hosts',
@@ -192,12 +198,21 @@
             *(f'agent-{target}' for target in targets),
             *self.gateways,
             *(f'peer-{gateway}' for gateway in self.gateways),
+            *(f'line-{target}' for target in targets),
+            *(f'line-{gateway}' for gateway in self.gateways),
         ]
         addresses = free_addresses(len(names))
         self.address_by_name.update(zip(names, addresses, strict=True))
 
     def _start_platform(self) -> None:
         self._launch('log', 'verbenamux-standin', ['log'], log_settings(self))
+        if self.shape.relayed:
+            self._launch(
+                'relay',
+                'verbenamux-standin',
+                ['relay'],
+                relay_settings(self),
+            )
         self._launch(
             'store',
             'verbenamux-standin',
@@ -293,6 +308,36 @@
     ]
 
 
+def log_address(fleet: Fleet, gateway: str) -> str:
+    """Return where a gateway finds the log; relays can cut it off."""
+    name = f'line-{gateway}' if fleet.shape.relayed else 'log'
+    return fleet.address_by_name[name]
+
+
+def agent_address(fleet: Fleet, target: str) -> str:
+    """Return where gateways find a target's agent."""
+    kind = 'line' if fleet.shape.relayed else 'agent'
+    return fleet.address_by_name[f'{kind}-{target}']
+
+
+def relay_settings(fleet: Fleet) -> dict[str, Any]:
+    """Return the relay's settings: a line to each agent and log client."""
+    pairs = [
+        (f'line-{name}', f'agent-{name}')
+        for name in [*fleet.engines, *fleet.services]
+    ]
+    pairs.extend((f'line-{name}', 'log') for name in fleet.gateways)
+    lines = [
+        {
+            'name': line.removeprefix('line-'),
+            'listen': fleet.address_by_name[line],
+            'to': fleet.address_by_name[end],
+        }
+        for line, end in pairs
+    ]
+    return {'address': fleet.address_by_name['relay'], 'lines': lines}
+
+
 def gateway_settings(fleet: Fleet, name: str) -> dict[str, Any]:
     """Return a gateway's settings."""
     settings = {
@@ -301,7 +346,7 @@
         'peer_address': fleet.address_by_name[f'peer-{name}'],
         'data_centre': _centre(fleet, fleet.gateways.index(name)),
         'platform': {
-            'log': fleet.address_by_name['log'],
+            'log': log_address(fleet, name),
             'hosts': fleet.address_by_name['hosts'],
         },
         'planning': {
@@ -329,6 +374,7 @@
             'settle': fleet.shape.settle,
         },
         'log': fleet.address_by_name['log'],
+        'known_as': agent_address(fleet, target),
         'lease': fleet.shape.lease,
     }
 
@@ -424,7 +470,7 @@
             'target': {
                 'name': name,
                 'kind': 'engine' if engine else 'service',
-                'agent': fleet.address_by_name[f'agent-{name}'],
+                'agent': agent_address(fleet, name),
                 'data_centre': _centre(fleet, index),
                 'service': '' if engine else name.removesuffix('-0'),
                 'memory_mb': fleet.shape.engine_memory_mb if engine else 0,
--- /dev/null
+++ b/libs/harness/src/verbenamux_harness/mutant.py
@@ -0,0 +1,178 @@
+"""Runs a program with one of its mechanisms taken away.
+
+A check that never fails proves nothing: scenarios name a mechanism, and
+the run without it must break the promise. The programs themselves have no
+such switch; here the mechanism is replaced before the program starts.
+"""
+
+import sys
+from collections.abc import Callable
+from importlib import import_module
+from typing import Any
+
+Patch = Callable[[], None]
+
+MAIN_BY_PROGRAM = {
+    'verbenamux-gateway': 'verbenamux_gateway.cli',
+    'verbenamux-agent': 'verbenamux_agent.cli',
+}
+
+
+class UnknownMutantError(Exception):
+    """A mechanism that cannot be taken away by that name."""
+
+
+def main() -> None:
+    """Take the named mechanism away and run the program."""
+    name, console_script, *arguments = sys.argv[1:]
+    patch = PATCH_BY_NAME.get(name)
+    if patch is None:
+        raise UnknownMutantError(name)
+    patch()
+    sys.argv = [console_script, *arguments]
+    import_module(MAIN_BY_PROGRAM[console_script]).main()
+
+
+def _replace(module: str, path: str, replacement: Any) -> Patch:
+    """Return a patch that replaces an attribute of a module's class."""
+
+    def patch() -> None:
+        owner = import_module(module)
+        *parents, last = path.split('.')
+        for parent in parents:
+            owner = getattr(owner, parent)
+        setattr(owner, last, replacement)
+
+    return patch
+
+
+def _always(outcome: Any) -> Callable[..., Any]:
+    return lambda *_args, **_options: outcome
+
+
+def _lend_without_debit(
+    escrow: Any,
+    workspace: str,
+    tokens: int,
+    at_most: int = 0,
+) -> int:
+    """Lend tokens and keep them, too."""
+    return max(tokens, at_most)
+
+
+def _retry_anything(delivery: Any, run: Any) -> bool:
+    """Send again whatever is known of the run."""
+    return bool(delivery.attempts < 3)
+
+
+def _accept_any_event(executor: Any, attempt: Any, response: Any) -> Any:
+    """Relay events without looking at whose they are."""
+    target = import_module('verbenamux_agent.target')
+    execution = import_module('verbenamux_agent.execution')
+    for payload in target.read_frames(response):
+        if payload == execution.DONE:
+            return execution._end(attempt)
+        executor._add_chunk(attempt, payload)
+    return None
+
+
+def _lost_as_not_run(pending: Any, run: Any) -> Any:
+    """Take a silent agent for one that never ran the attempt."""
+    messages = import_module('verbenamux_contracts.messages')
+    return messages.Broken(
+        pending.attempt_id,
+        'not_run',
+        'outcome_unknown',
+        'taken for not run',
+    )
+
+
+def _adopt_any(left: Any, right: Any) -> Any:
+    """Take whatever snapshot was seen last."""
+    return right
+
+
+def _drain_at_once(gateway: Any) -> None:
+    """Leave without waiting for open requests."""
+
+
+def _free_by_report_only(ledger: Any) -> int:
+    """Count only what the target's report shows as taken."""
+    seen = [row for row in ledger.row_by_key.values() if row.seen]
+    return int(ledger.capacity_mb - sum(row.memory_mb for row in seen))
+
+
+def _claim_nothing(keeper: Any, *_: Any) -> None:
+    """Let every request with an Idempotency-Key pass."""
+
+
+GATEWAY = 'verbenamux_gateway'
+AGENT = 'verbenamux_agent'
+
+PATCH_BY_NAME: dict[str, Patch] = {
+    'resume': _replace(
+        f'{GATEWAY}.delivery',
+        'Delivery._ask_again',
+        _always(True),
+    ),
+    'retries': _replace(
+        f'{GATEWAY}.delivery',
+        'Delivery._may_retry',
+        _always(False),
+    ),
+    'one-attempt': _replace(
+        f'{GATEWAY}.delivery',
+        'Delivery._may_retry',
+        _retry_anything,
+    ),
+    'proof-of-not-run': _replace(
+        f'{GATEWAY}.delivery',
+        '_lost',
+        _lost_as_not_run,
+    ),
+    'event-names': _replace(
+        f'{AGENT}.execution',
+        'Executor._relay',
+        _accept_any_event,
+    ),
+    'claims': _replace(
+        f'{GATEWAY}.claims',
+        'ClaimKeeper.claim',
+        _claim_nothing,
+    ),
+    'debit-first': _replace(
+        'verbenamux_admission.escrow',
+        'Escrow.lend',
+        _lend_without_debit,
+    ),
+    'key-checks': _replace(
+        f'{GATEWAY}.server',
+        '_permit',
+        _always(_always(None)),
+    ),
+    'freshness': _replace(
+        f'{GATEWAY}.gateway',
+        'Gateway.is_fresh',
+        _always(True),
+    ),
+    'reservations': _replace(
+        'verbenamux_placement.ledger',
+        'Ledger.free_mb',
+        property(_free_by_report_only),
+    ),
+    'consent': _replace(
+        f'{AGENT}.holdings',
+        'Holdings.agree_to_keep',
+        _always(True),
+    ),
+    'leaving-marks': _replace(
+        f'{GATEWAY}.fleet',
+        'Fleet.mark_leaving',
+        _always(None),
+    ),
+    'drain': _replace(f'{GATEWAY}.running', '_drain', _drain_at_once),
+    'newer-wins': _replace(f'{GATEWAY}.following', 'newer', _adopt_any),
+}
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/harness/src/verbenamux_harness/proving.py
@@ -0,0 +1,114 @@
+"""Running all scenarios, each also without its mechanisms."""
+
+import tempfile
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from verbenamux_harness.language import Scenario, read_scenarios
+from verbenamux_harness.runner import Verdict, run_scenario
+
+SHOWN_VIOLATIONS = 3
+EXPECTATIONS = 'expectations'
+
+
+@dataclass(frozen=True, slots=True)
+class ProofRow:
+    """One row of the table of proofs."""
+
+    scenario: str
+    promises: tuple[str, ...]
+    mutant: str
+    passed: bool
+    told: str
+
+
+def prove(scenarios: Iterable[Scenario], folder: Path) -> Iterator[ProofRow]:
+    """Yield a row for each scenario, and for each of its mutants."""
+    for scenario in scenarios:
+        verdict = run_scenario(scenario, _folder(folder, scenario.name))
+        yield _plain_row(scenario, verdict)
+        for mutant in scenario.mutants:
+            name = f'{scenario.name}-{mutant.mechanism}'
+            broken = run_scenario(scenario, _folder(folder, name), mutant)
+            yield _mutant_row(scenario, broken, mutant.breaks)
+
+
+def markdown(rows: Iterable[ProofRow]) -> Iterator[str]:
+    """Yield the table's lines."""
+    yield '| scenario | promises | mechanism off | verdict | seen |'
+    yield '| --- | --- | --- | --- | --- |'
+    for row in rows:
+        verdict = 'as it must be' if row.passed else '**not as it must be**'
+        promises = ', '.join(row.promises)
+        mutant = row.mutant or '-'
+        yield (
+            f'| {row.scenario} | {promises} | {mutant} | {verdict} '
+            f'| {row.told} |'
+        )
+
+
+def choose(names: Iterable[str], folder: Path) -> list[Scenario]:
+    """Return the scenarios of those names, or all when none is named."""
+    wanted = set(names)
+    return [
+        scenario
+        for scenario in read_scenarios(folder)
+        if not wanted or scenario.name in wanted
+    ]
+
+
+def describe(verdict: Verdict) -> Iterator[str]:
+    """Yield what a person needs to know of a run that went wrong."""
+    for violation in verdict.violations[:SHOWN_VIOLATIONS]:
+        yield f'{violation.promise.value}: {violation.message}'
+        yield from violation.lines
+    yield from verdict.unmet
+
+
+def _plain_row(scenario: Scenario, verdict: Verdict) -> ProofRow:
+    told = _outcomes(verdict)
+    if not verdict.kept:
+        told = f'{told}; {_first_failure(verdict)}'
+    return ProofRow(
+        scenario.name,
+        tuple(scenario.promises),
+        '',
+        verdict.kept,
+        told,
+    )
+
+
+def _mutant_row(
+    scenario: Scenario,
+    verdict: Verdict,
+    breaks: str,
+) -> ProofRow:
+    broke = verdict.broke(breaks)
+    if breaks == EXPECTATIONS:
+        broke = bool(verdict.unmet)
+    told = 'nothing broke' if verdict.kept else _first_failure(verdict)
+    return ProofRow(
+        scenario.name,
+        (breaks,),
+        verdict.mutant,
+        broke,
+        told,
+    )
+
+
+def _outcomes(verdict: Verdict) -> str:
+    counted = verdict.outcomes.most_common()
+    return ', '.join(f'{outcome} {count}' for outcome, count in counted)
+
+
+def _first_failure(verdict: Verdict) -> str:
+    failures = [
+        f'{violation.promise.value}: {violation.message}'
+        for violation in verdict.violations
+    ]
+    return [*failures, *verdict.unmet][0]
+
+
+def _folder(parent: Path, name: str) -> Path:
+    return Path(tempfile.mkdtemp(prefix=f'{name}-', dir=parent))
--- a/libs/harness/src/verbenamux_harness/shapes.py
+++ b/libs/harness/src/verbenamux_harness/shapes.py
@@ -50,6 +50,7 @@
     settle: str = '300ms'
     report_lag: str = '100ms'
     lease: str = '3s'
+    relayed: bool = False
     gateway_extra: dict[str, Any] = field(default_factory=dict)
 
 
--- a/libs/load/src/verbenamux_load/running.py
+++ b/libs/load/src/verbenamux_load/running.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from datetime import timedelta
 from random import Random
 
 import gevent
@@ -12,7 +13,10 @@
 from verbenamux_load.history import HistoryWriter, Invocation
 from verbenamux_load.plan import Caller, CallKind, LoadPlan
 from verbenamux_load.prompts import digest_of, make_prompt
-from verbenamux_load.sending import open_client, send_call
+from verbenamux_load.sending import is_ready, open_client, send_call
+
+PROBE_SECONDS = 0.2
+PROBE_TIMEOUT = timedelta(seconds=1)
 
 
 @dataclass(slots=True)
@@ -23,6 +27,7 @@
     history: HistoryWriter = field(default_factory=HistoryWriter)
     started: float = field(default_factory=time.monotonic)
     calls: Group = field(default_factory=Group)
+    unready: set[str] = field(default_factory=set)
     idle_by_gateway: dict[str, list[HTTPClient]] = field(default_factory=dict)
 
     def now(self) -> float:
@@ -30,13 +35,20 @@
         return time.monotonic() - self.started
 
     def run(self) -> None:
-        """Send everything and wait for every answer."""
+        """Send everything and wait for every answer.
+
+        Like a balancer, it sends only to gateways that say they are ready.
+        """
+        probes = [
+            gevent.spawn(self._probe, gateway) for gateway in self.plan.gateways
+        ]
         callers = [
             gevent.spawn(self._call_on, index, caller)
             for index, caller in enumerate(self.plan.callers)
         ]
         gevent.joinall(callers, raise_error=True)
         self.calls.join()
+        gevent.killall(probes)
 
     def _call_on(self, index: int, caller: Caller) -> None:
         random = Random(f'{self.plan.seed}/{index}/{caller.name}')
@@ -44,7 +56,7 @@
             pause = due - self.now()
             if pause > 0:
                 gevent.sleep(pause)
-            call_id = f'{caller.name}-{number}'
+            call_id = f'{caller.name}~{number}'
             self.calls.spawn(
                 self._call,
                 caller,
@@ -93,8 +105,26 @@
 
     def _pick_gateway(self, random: Random) -> str:
         gateways = self.plan.gateways
-        weights = self.plan.weights or None
-        return random.choices(gateways, weights)[0]
+        weights = self.plan.weights or tuple(1 for _ in gateways)
+        ready = [
+            (gateway, weight)
+            for gateway, weight in zip(gateways, weights, strict=True)
+            if gateway not in self.unready
+        ]
+        if not ready:
+            return random.choices(gateways, weights)[0]
+        names, ready_weights = zip(*ready, strict=True)
+        chosen: str = random.choices(names, ready_weights)[0]
+        return chosen
+
+    def _probe(self, gateway: str) -> None:
+        client = open_client(gateway, PROBE_TIMEOUT)
+        while True:
+            if is_ready(client):
+                self.unready.discard(gateway)
+            else:
+                self.unready.add(gateway)
+            gevent.sleep(PROBE_SECONDS)
 
     def _take_client(self, gateway: str) -> HTTPClient:
         idle = self.idle_by_gateway.setdefault(gateway, [])
--- a/libs/load/src/verbenamux_load/sending.py
+++ b/libs/load/src/verbenamux_load/sending.py
@@ -77,6 +77,16 @@
     )
 
 
+def is_ready(client: HTTPClient) -> bool:
+    """Tell whether a gateway says that it takes callers."""
+    try:
+        response = client.get('/readyz')
+        response.read()
+    except NETWORK_ERRORS:
+        return False
+    return bool(response.status_code == OK)
+
+
 def _exchange(
     client: HTTPClient,
     caller: Caller,
--- a/libs/load/src/verbenamux_load/summary.py
+++ b/libs/load/src/verbenamux_load/summary.py
@@ -14,6 +14,7 @@
 DIGITS = 3
 MICROSECONDS = 1_000_000
 OK = 200
+NEVER_CONNECTED = 'ConnectionRefusedError'
 
 
 @dataclass(slots=True)
@@ -66,8 +67,11 @@
 
 def outcome_of(invoked: Invocation, completed: Completion | None) -> str:
     """Return one word for how a call ended."""
-    if completed is None or completed.failure:
+    if completed is None:
         return 'cut_off'
+    if completed.failure:
+        refused = completed.failure.startswith(NEVER_CONNECTED)
+        return 'unreachable' if refused else 'cut_off'
     if completed.code:
         return completed.code
     if completed.status != OK or not completed.done:
--- a/libs/runtime/src/verbenamux_runtime/webserver.py
+++ b/libs/runtime/src/verbenamux_runtime/webserver.py
@@ -20,6 +20,14 @@
 class QuietHandler(WSGIHandler):
     """A connection whose request line and headers must come in time."""
 
+    def handle(self) -> None:
+        """Answer a connection's requests, each piece sent at once.
+
+        Small pieces must not wait for the peer's delayed acknowledgement.
+        """
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def log_request(self) -> None:
         """Write nothing: programs log decisions of their own."""
 
--- a/libs/standin/src/verbenamux_standin/cli.py
+++ b/libs/standin/src/verbenamux_standin/cli.py
@@ -19,6 +19,7 @@
 from verbenamux_standin.hosts import hosts_route
 from verbenamux_standin.log import log_route
 from verbenamux_standin.memory import READY, Memory, Resident
+from verbenamux_standin.relay import Line, Relay
 from verbenamux_standin.service import service_route
 from verbenamux_standin.store import StorePace, store_route
 from verbenamux_standin.web import Faults, Reply, Request, make_application
@@ -62,6 +63,13 @@
     work: Duration
 
 
+class RelaySettings(Settings, frozen=True):
+    """Settings of the relay."""
+
+    address: Address
+    lines: tuple[Line, ...]
+
+
 class PreloadedModel(Settings, frozen=True):
     """A model that an engine holds from the start."""
 
@@ -127,6 +135,15 @@
     _run(checked.address, fake.route, faults)
 
 
+@app.command()
+def relay(settings: SettingsPath) -> None:
+    """Run a TCP relay whose lines can be cut."""
+    checked = load_or_exit(settings, RelaySettings)
+    lines = Relay(checked.lines)
+    lines.start()
+    _run(checked.address, lines.route)
+
+
 def build_engine(settings: EngineSettings, faults: Faults) -> Engine:
     """Return an engine with its preloaded models ready."""
     clock = SystemClock()
--- a/libs/standin/src/verbenamux_standin/engine.py
+++ b/libs/standin/src/verbenamux_standin/engine.py
@@ -179,8 +179,9 @@
     def _generate(self, attempt: Attempt) -> None:
         text = attempt.body.text
         self._fill(text)
-        digest = prompt_digest(text)
         name = self._event_name(attempt)
+        crossed = name != attempt.attempt_id
+        digest = prompt_digest(name if crossed else text)
         last = attempt.body.max_tokens
         for index in range(attempt.first, last):
             if attempt.cancelled:
--- a/libs/standin/src/verbenamux_standin/memory.py
+++ b/libs/standin/src/verbenamux_standin/memory.py
@@ -76,6 +76,7 @@
             event,
             model=row.name,
             version=row.version,
+            adapter=row.adapter,
             used_mb=self.used_mb,
             capacity_mb=self.capacity_mb,
         )
