Prove promises by scenarios, each also without its mechanism

Cause: the path ran, but nothing showed that it keeps its promises under failure. Added: a scenario language, a checker over histories, a relay whose lines can be cut, and mutants that take one mechanism away before a program starts; the programs have no such switch.

Found by the first runs and mended, each with its test: - A key with all its units at one gateway: losing that gateway during a log outage refused 62 of 94 calls inside their rate. Units are now spread over up to four holders.

Ruled out: a mutant of the frozen gateway's freshness check breaks nothing in its scenario, since the lease runs out first; listed as not proved by a run.

--- a/libs/agent/src/verbenamux_agent/attempts.py
+++ b/libs/agent/src/verbenamux_agent/attempts.py
@@ -97,7 +97,10 @@
         return self._run_by_tombstone.get(attempt_id)
 
     def forget_old(self, now: timedelta) -> None:
-        """Drop answers that ended long ago or take too much room."""
+        """Drop answers that ended long ago or take too much room.
+
+        What is known of their run stays as a tombstone.
+        """
         ended = [
             attempt
             for attempt in self.by_id.values()
@@ -111,6 +114,7 @@
                 break
             size -= attempt.size
             del self.by_id[attempt.dispatch.attempt_id]
+            self.bury(attempt.dispatch.attempt_id, _run_of(attempt))
 
     def unfinished(self) -> list[Attempt]:
         """Return the attempts that have no ending yet."""
@@ -119,5 +123,11 @@
         ]
 
 
+def _run_of(attempt: Attempt) -> Run:
+    if isinstance(attempt.ending, Broken):
+        return Run(attempt.ending.run)
+    return Run.RAN
+
+
 def _ended_at(attempt: Attempt) -> timedelta:
     return attempt.ended_at
--- a/libs/agent/src/verbenamux_agent/cli.py
+++ b/libs/agent/src/verbenamux_agent/cli.py
@@ -100,7 +100,7 @@
         return parts[0].prepare(dispatch)
 
     server = PeerServer(settings.address, handle)
-    work = _build_work(settings, clock, server.send, prepare)
+    work = _build_work(settings, instance, clock, server.send, prepare)
     work.executor = Executor(client, settings.target.kind, clock, work.emit)
     agent = Agent(
         settings=settings,
@@ -131,12 +131,14 @@
 
 def _build_work(
     settings: AgentSettings,
+    instance: str,
     clock: SystemClock,
     send: Callable[[bytes, Message], bool],
     prepare: Callable[[Dispatch], Refused | None],
 ) -> WorkList:
     limits = settings.limits
     return WorkList(
+        instance,
         clock,
         AttemptTable(limits.answer_kept, limits.answers_size),
         Pace(settings.target.slots),
--- a/libs/agent/src/verbenamux_agent/worklist.py
+++ b/libs/agent/src/verbenamux_agent/worklist.py
@@ -43,6 +43,7 @@
 
     def __init__(
         self,
+        instance: str,
         clock: Clock,
         table: AttemptTable,
         pace: Pace,
@@ -57,6 +58,7 @@
         self.leaving = False
         self.running = 0
         self.running_tokens = 0
+        self._instance = instance
         self._clock = clock
         self._queue_most = queue_most
         self._queue: FairQueue[Attempt] = FairQueue()
@@ -101,7 +103,7 @@
             return
         attempt = self.table.by_id.get(resume.attempt_id)
         if attempt is None:
-            self._adopt(gateway, resume)
+            self._resume_unknown(gateway, resume)
             return
         attempt.gateway = gateway
         attempt.orphaned_at = None
@@ -219,6 +221,18 @@
             )
         self.emit(attempt, ending)
 
+    def _resume_unknown(self, gateway: bytes, resume: Resume) -> None:
+        """Answer for an attempt that this run of the agent does not know.
+
+        If it was sent to this very run, it never arrived: a tombstone
+        makes sure that it runs no more. Else an earlier run may have it.
+        """
+        if resume.instance == self._instance:
+            self.table.bury(resume.attempt_id, Run.NOT_RUN)
+            self._send(gateway, _gone(resume.attempt_id, Run.NOT_RUN))
+        else:
+            self._adopt(gateway, resume)
+
     def _adopt(self, gateway: bytes, resume: Resume) -> None:
         dispatch = Dispatch(
             attempt_id=resume.attempt_id,
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -89,11 +89,16 @@
 
 
 class Resume(Message, frozen=True):
-    """A gateway asks for an attempt's answer from a chunk number on."""
+    """A gateway asks for an attempt's answer from a chunk number on.
+
+    `instance` is the agent's run that the attempt was sent to: that very
+    run can prove that an attempt it does not know has not run.
+    """
 
     attempt_id: AttemptId
     from_chunk: int
     budget_ms: int
+    instance: str = ''
 
 
 class Cancel(Message, frozen=True):
--- a/libs/gateway/src/verbenamux_gateway/answers.py
+++ b/libs/gateway/src/verbenamux_gateway/answers.py
@@ -6,8 +6,13 @@
 from typing import Any
 
 import msgspec
-from verbenamux_contracts.errors import RETRY_STATUSES, RequestFailure
-from verbenamux_runtime.webserver import reason_phrase
+from verbenamux_contracts.errors import (
+    RETRY_STATUSES,
+    ErrorCode,
+    RequestFailure,
+)
+from verbenamux_contracts.ids import new_request_id
+from verbenamux_runtime.webserver import encode_plain_error, reason_phrase
 
 JSON_TYPE = 'application/json'
 STREAM_TYPE = 'text/event-stream'
@@ -69,6 +74,16 @@
     )
 
 
+def encode_broken_request(status: str) -> bytes:
+    """Return the raw answer to something that was no HTTP request."""
+    failure = RequestFailure(
+        ErrorCode.INVALID_HEADER,
+        'the request line or a header cannot be read',
+    )
+    body = encode_failure(failure, new_request_id())
+    return encode_plain_error(status, body)
+
+
 def stream_frames(
     first: bytes,
     rest: Iterator[bytes],
--- a/libs/gateway/src/verbenamux_gateway/delivery.py
+++ b/libs/gateway/src/verbenamux_gateway/delivery.py
@@ -172,7 +172,15 @@
         pending: Pending,
     ) -> Generator[bytes, None, End | Broken]:
         if not pending.link.send(self._dispatch(pending)):
-            return _lost(pending, Run.NOT_RUN)
+            # Nothing left: no target until its agent is heard again.
+            pending.view.alive = False
+            self.attempts -= 1
+            return Broken(
+                pending.attempt_id,
+                Run.NOT_RUN.value,
+                ErrorCode.NO_TARGET.value,
+                'the agent is not connected',
+            )
         pending.view.load.sent_tokens += self.work.need.tokens
         return (yield from self._follow(pending))
 
@@ -252,11 +260,11 @@
         connected = self._ask_again(pending)
         silent_for = now - heard_at
         if not connected and self.work.idempotent and self._has_other(pending):
-            return _lost(pending, Run.UNKNOWN)
+            return _lost(pending)
         limit = LOST_AFTER if self.work.idempotent else RESUME_MOST
         if silent_for < limit:
             return None
-        return _lost(pending, Run.UNKNOWN)
+        return _lost(pending)
 
     def _has_other(self, pending: Pending) -> bool:
         excluded = self.excluded | {pending.view.target.name}
@@ -277,6 +285,7 @@
                 pending.attempt_id,
                 pending.next_index,
                 max(0, to_milliseconds(left)),
+                pending.instance,
             ),
         )
 
@@ -395,10 +404,10 @@
     )
 
 
-def _lost(pending: Pending, run: Run) -> Broken:
+def _lost(pending: Pending) -> Broken:
     return Broken(
         pending.attempt_id,
-        run.value,
+        Run.UNKNOWN.value,
         ErrorCode.OUTCOME_UNKNOWN.value,
         AGENT_LOST,
     )
--- a/libs/gateway/src/verbenamux_gateway/fleet.py
+++ b/libs/gateway/src/verbenamux_gateway/fleet.py
@@ -32,6 +32,7 @@
     attempt_id: AttemptId
     view: TargetView
     link: PeerLink
+    instance: str
     next_index: int = 0
     inbox: SimpleQueue[Message] = field(default_factory=SimpleQueue)
 
@@ -78,6 +79,7 @@
             new_attempt_id(),
             view,
             self.link_to(view.target.agent),
+            view.instance,
         )
         self._pending_by_id[pending.attempt_id] = pending
         view.load.outstanding += 1
--- a/libs/gateway/src/verbenamux_gateway/rates.py
+++ b/libs/gateway/src/verbenamux_gateway/rates.py
@@ -17,6 +17,8 @@
 
 ASK_TIMEOUT = timedelta(milliseconds=300)
 ASK_PARTS = 8
+LEASE_WAIT = timedelta(seconds=1)
+LEASE_CHECK = timedelta(milliseconds=20)
 METER_WINDOW = timedelta(seconds=1)
 HOLDERS_ASKED_MOST = 8
 FEWEST_UNITS_MOVED = WHOLE // 100
@@ -91,6 +93,7 @@
         limits = self.limits_of(workspace)
         if limits is None or tokens > limits.burst:
             return _over_burst(tokens, limits)
+        self._wait_for_lease()
         if self._take(workspace, tokens):
             return None
         for peer_name in self._lenders(workspace):
@@ -128,6 +131,16 @@
         self.spent.clear()
         return dict(moves)
 
+    def _wait_for_lease(self) -> None:
+        """Wait a little for a lease that is being renewed.
+
+        After a pause the lease has run out, and comes back with the next
+        renewal.
+        """
+        until = self.clock.elapsed() + LEASE_WAIT
+        while not self.ready and self.clock.elapsed() < until:
+            self.clock.sleep(LEASE_CHECK)
+
     def _take(self, workspace: str, tokens: int) -> bool:
         taken = self.escrow.take(workspace, tokens)
         if taken:
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -11,6 +11,7 @@
 from verbenamux_runtime.program import every, stop_on_signal
 from verbenamux_runtime.webserver import serve
 
+from verbenamux_gateway.answers import encode_broken_request
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.server import make_application
 from verbenamux_gateway.settings import RatePolicy
@@ -18,6 +19,7 @@
 HOSTS_INTERVAL = timedelta(seconds=1)
 SILENCE_CHECK = timedelta(milliseconds=500)
 CLAIM_INTERVAL = timedelta(milliseconds=200)
+SPREAD_INTERVAL = timedelta(seconds=1)
 MOVE_INTERVAL = timedelta(seconds=5)
 RECLAIM_INTERVAL = timedelta(seconds=1)
 RENEWALS_PER_LEASE = 4
@@ -43,6 +45,7 @@
         gateway.settings.address,
         make_application(gateway),
         gateway.settings.limits.connections,
+        encode_broken_request,
     )
     gateway.log.write('started', address=gateway.settings.address)
     stop.wait()
@@ -87,6 +90,7 @@
         lambda: shares.claim(list(gateway.configuration.workspaces_by_name)),
     )
     _loop(gateway, MOVE_INTERVAL, shares.move_units)
+    _loop(gateway, SPREAD_INTERVAL, shares.spread)
     _loop(gateway, RECLAIM_INTERVAL, shares.reclaim_dead)
 
 
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -35,7 +35,7 @@
 READ_WAIT = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=500)
 SNAPSHOT_RECORDS = 200
-RECLAIM_AFTER_LEASES = 2
+HOLDERS_PER_WORKSPACE = 4
 
 Decide = Callable[..., None]
 
@@ -125,6 +125,19 @@
                 continue
             self._grant(peer.hello.holder, units)
 
+    def spread(self) -> None:
+        """Give units to the gateways that are to hold a workspace too.
+
+        A few holders for each workspace: the loss of one then costs a part
+        of the rate, not all of it, until its units are reclaimed.
+        """
+        wanted: dict[str, dict[str, int]] = {}
+        for workspace, units in self._held_units().items():
+            for holder, part in self._parts(workspace, units).items():
+                wanted.setdefault(holder, {})[workspace] = part
+        for receiver, parts in wanted.items():
+            self._grant(receiver, parts)
+
     def give_all_away(self) -> None:
         """Grant all units to a living peer, before leaving."""
         receivers = [
@@ -150,7 +163,7 @@
                 self.seen_at_by_holder[holder] = now
                 continue
             seen_at = self.seen_at_by_holder.setdefault(holder, now)
-            if now - seen_at > RECLAIM_AFTER_LEASES * self.lease_time:
+            if now - seen_at > self.lease_time:
                 self._reclaim(holder)
 
     def write_snapshot(self) -> None:
@@ -161,6 +174,28 @@
             self.snapshot_offset = book.through_offset
             self._append(book.snapshot())
 
+    def _parts(self, workspace: str, units: int) -> dict[str, int]:
+        """Return what of a workspace goes to which new holder."""
+        names = self._alive_names([*self.peers.by_name, self.name])
+        chosen = pick(workspace, names, HOLDERS_PER_WORKSPACE)
+        part = records.WHOLE // len(chosen)
+        empty = [
+            holder
+            for holder in self._holders_of(chosen)
+            if not self.escrow.book.units(workspace, holder)
+        ]
+        affordable = max(0, units - part) // part
+        return dict.fromkeys(empty[:affordable], part)
+
+    def _holders_of(self, names: list[str]) -> list[str]:
+        hellos = [
+            peer.hello
+            for peer in self.peers.alive()
+            if peer.name in names and peer.hello is not None
+        ]
+        known = self.escrow.book.witnesses_by_holder
+        return [hello.holder for hello in hellos if hello.holder in known]
+
     def _is_registered(self) -> bool:
         return self.escrow.holder in self.escrow.book.witnesses_by_holder
 
--- a/libs/harness/src/verbenamux_harness/actions.py
+++ b/libs/harness/src/verbenamux_harness/actions.py
@@ -157,6 +157,14 @@
         call('POST', f'{url}?through=1000000')
 
 
+def _replay(stage: Stage, step: Step) -> None:
+    """Append a stream's first record again, as a paused writer would."""
+    for stream in step.words:
+        url = f'{stage.fleet.url("log")}/streams/{stream}/records'
+        first = call('GET', f'{url}?from=0&limit=1').json()
+        call('POST', url, first['records'][0].encode())
+
+
 ACTION_BY_NAME: dict[str, Action] = {
     'kill': _kill,
     'start': _start,
@@ -171,4 +179,5 @@
     'upgrade': _upgrade,
     'race': _race,
     'expire': _expire,
+    'replay': _replay,
 }
--- a/libs/harness/src/verbenamux_harness/fleet.py
+++ b/libs/harness/src/verbenamux_harness/fleet.py
@@ -200,6 +200,7 @@
             *(f'peer-{gateway}' for gateway in self.gateways),
             *(f'line-{target}' for target in targets),
             *(f'line-{gateway}' for gateway in self.gateways),
+            *(f'line-peer-{gateway}' for gateway in self.gateways),
         ]
         addresses = free_addresses(len(names))
         self.address_by_name.update(zip(names, addresses, strict=True))
@@ -289,8 +290,7 @@
     """Return the host list, with some hosts marked as leaving."""
     centres = itertools.cycle(fleet.shape.data_centres)
     rows = [
-        ('gateway', name, fleet.address_by_name[f'peer-{name}'])
-        for name in fleet.gateways
+        ('gateway', name, peer_address(fleet, name)) for name in fleet.gateways
     ]
     rows.extend(
         ('agent', name, fleet.address_by_name[f'agent-{name}'])
@@ -314,6 +314,12 @@
     return fleet.address_by_name[name]
 
 
+def peer_address(fleet: Fleet, gateway: str) -> str:
+    """Return where gateways find each other."""
+    kind = 'line-peer' if fleet.shape.relayed else 'peer'
+    return fleet.address_by_name[f'{kind}-{gateway}']
+
+
 def agent_address(fleet: Fleet, target: str) -> str:
     """Return where gateways find a target's agent."""
     kind = 'line' if fleet.shape.relayed else 'agent'
@@ -327,6 +333,9 @@
         for name in [*fleet.engines, *fleet.services]
     ]
     pairs.extend((f'line-{name}', 'log') for name in fleet.gateways)
+    pairs.extend(
+        (f'line-peer-{name}', f'peer-{name}') for name in fleet.gateways
+    )
     lines = [
         {
             'name': line.removeprefix('line-'),
@@ -384,7 +393,7 @@
     shape = fleet.shape
     address = fleet.address_by_name[name]
     if name in fleet.services:
-        return {'address': address, 'name': name, 'work': '5ms'}
+        return {'address': address, 'name': name, 'work': shape.service_work}
     return {
         'address': address,
         'name': name,
--- a/libs/harness/src/verbenamux_harness/language.py
+++ b/libs/harness/src/verbenamux_harness/language.py
@@ -10,10 +10,11 @@
 GRAMMAR = r"""
 start: _NL* scenario*
 scenario: "scenario" WORD _NL+ clause*
-?clause: promise | fleet | load | length | step | mutant | expect
+?clause: promise | fleet | balancer | load | length | step | mutant | expect
 promise: "promise" WORD ("," WORD)* _NL+
 fleet: "fleet" WORD option* _NL+
 load: "load" WORD RATE "from" WORD option* _NL+
+balancer: "balancer" "favours" "first" NUMBER _NL+
 length: "for" TIME _NL+
 step: "at" TIME WORD argument* _NL+
 mutant: "without" WORD "at" WORD "breaks" WORD _NL+
@@ -87,6 +88,7 @@
     fleet_options: dict[str, Any] = field(default_factory=dict)
     loads: list[LoadClause] = field(default_factory=list)
     seconds: float = 6
+    balancer: int = 1
     steps: list[Step] = field(default_factory=list)
     mutants: list[MutantClause] = field(default_factory=list)
     expectations: list[Expectation] = field(default_factory=list)
@@ -120,6 +122,10 @@
             dict(parts[3:]),
         )
 
+    def balancer(self, parts: list[Token]) -> int:
+        """Return by how much the first gateway is favoured."""
+        return int(parts[0])
+
     def length(self, parts: list[Token]) -> float:
         """Return the length of a run."""
         return seconds_of(parts[0])
@@ -176,6 +182,8 @@
             built.mutants.append(part)
         case Expectation():
             built.expectations.append(part)
+        case int():
+            built.balancer = part
         case float():
             built.seconds = part
 
--- a/libs/harness/src/verbenamux_harness/mutant.py
+++ b/libs/harness/src/verbenamux_harness/mutant.py
@@ -76,7 +76,7 @@
     return None
 
 
-def _lost_as_not_run(pending: Any, run: Any) -> Any:
+def _lost_as_not_run(pending: Any) -> Any:
     """Take a silent agent for one that never ran the attempt."""
     messages = import_module('verbenamux_contracts.messages')
     return messages.Broken(
@@ -171,7 +171,11 @@
         _always(None),
     ),
     'drain': _replace(f'{GATEWAY}.running', '_drain', _drain_at_once),
-    'newer-wins': _replace(f'{GATEWAY}.following', 'newer', _adopt_any),
+    'newer-wins': _replace(
+        'verbenamux_platform.configuration_log',
+        'newer',
+        _adopt_any,
+    ),
 }
 
 if __name__ == '__main__':
--- a/libs/harness/src/verbenamux_harness/proving.py
+++ b/libs/harness/src/verbenamux_harness/proving.py
@@ -2,13 +2,15 @@
 
 import tempfile
 from collections.abc import Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
-from verbenamux_harness.language import Scenario, read_scenarios
+from verbenamux_harness.language import MutantClause, Scenario, read_scenarios
 from verbenamux_harness.runner import Verdict, run_scenario
 
 SHOWN_VIOLATIONS = 3
+FLEETS_AT_ONCE = 3
 EXPECTATIONS = 'expectations'
 
 
@@ -25,13 +27,29 @@
 
 def prove(scenarios: Iterable[Scenario], folder: Path) -> Iterator[ProofRow]:
     """Yield a row for each scenario, and for each of its mutants."""
-    for scenario in scenarios:
+    jobs = [
+        (scenario, mutant)
+        for scenario in scenarios
+        for mutant in (None, *scenario.mutants)
+    ]
+    with ThreadPoolExecutor(FLEETS_AT_ONCE) as pool:
+        yield from pool.map(
+            lambda job: _prove_one(job[0], job[1], folder),
+            jobs,
+        )
+
+
+def _prove_one(
+    scenario: Scenario,
+    mutant: MutantClause | None,
+    folder: Path,
+) -> ProofRow:
+    if mutant is None:
         verdict = run_scenario(scenario, _folder(folder, scenario.name))
-        yield _plain_row(scenario, verdict)
-        for mutant in scenario.mutants:
-            name = f'{scenario.name}-{mutant.mechanism}'
-            broken = run_scenario(scenario, _folder(folder, name), mutant)
-            yield _mutant_row(scenario, broken, mutant.breaks)
+        return _plain_row(scenario, verdict)
+    name = f'{scenario.name}-{mutant.mechanism}'
+    verdict = run_scenario(scenario, _folder(folder, name), mutant)
+    return _mutant_row(scenario, verdict, mutant.breaks)
 
 
 def markdown(rows: Iterable[ProofRow]) -> Iterator[str]:
--- a/libs/harness/src/verbenamux_harness/runner.py
+++ b/libs/harness/src/verbenamux_harness/runner.py
@@ -86,7 +86,12 @@
     """Return the fleet that a scenario asks for."""
     options: dict[str, Any] = {'relayed': True}
     for name, setting in scenario.fleet_options.items():
-        options[name] = {'yes': True, 'no': False}.get(setting, setting)
+        if name == 'snapshots':
+            options['gateway_extra'] = {'snapshot_every': setting}
+        elif name == 'copies':
+            options['copies_least'] = setting
+        else:
+            options[name] = {'yes': True, 'no': False}.get(setting, setting)
     return SHAPE_BY_NAME[scenario.fleet](**options)
 
 
@@ -144,17 +149,23 @@
         ],
         'seed': int(scenario.fleet_options.get('seed', 1)),
         'timeout': '70s',
+        'weights': _weights(scenario, fleet),
     }
 
 
+def _weights(scenario: Scenario, fleet: Fleet) -> list[int]:
+    """Return how a balancer favours gateways; the first may be favoured."""
+    favour = scenario.balancer
+    return [favour, *(1 for _ in fleet.gateways[1:])]
+
+
 def _caller(index: int, clause: LoadClause, fleet: Fleet) -> dict[str, Any]:
-    models = _models_of(clause.workspace, fleet)
     caller: dict[str, Any] = {
         'name': f'{clause.workspace}-{clause.kind}-{index}',
         'key': fleet.key_by_workspace.get(clause.workspace, ''),
         'kind': 'service' if clause.kind == 'booking' else clause.kind,
         'rate': clause.rate,
-        'model': models[index % len(models)] if models else '',
+        'models': _models_of(clause.workspace, fleet),
     }
     if clause.kind == 'booking':
         service = next(iter(fleet.shape.services))
@@ -263,8 +274,7 @@
         outcomes = [
             outcome_of(invoked, completed)
             for invoked, completed in evidence.calls
-            if f'-{expectation.kind}-' in invoked.caller
-            or expectation.kind == 'all'
+            if expectation.kind in {'all', _kind_of(invoked.caller)}
         ]
         share = _share(outcomes, expectation.outcome)
         if not _is_met(expectation, share):
@@ -276,6 +286,11 @@
             )
 
 
+def _kind_of(caller: str) -> str:
+    """Return `workspace-kind` of a caller's name."""
+    return caller.rpartition('-')[0]
+
+
 def _share(outcomes: list[str], outcome: str) -> float:
     if not outcomes:
         return 0
--- a/libs/harness/src/verbenamux_harness/shapes.py
+++ b/libs/harness/src/verbenamux_harness/shapes.py
@@ -51,13 +51,14 @@
     report_lag: str = '100ms'
     lease: str = '3s'
     relayed: bool = False
+    service_work: str = '5ms'
     gateway_extra: dict[str, Any] = field(default_factory=dict)
 
 
-def nakhla(**changes: Any) -> FleetShape:
+def nakhla(copies_least: int = 1, **changes: Any) -> FleetShape:
     """Return Nakhla Sand & Sledge Hire in small."""
     models = tuple(
-        ModelShape(f'desk-{number}', 1000, copies_least=1)
+        ModelShape(f'desk-{number}', 1000, copies_least=copies_least)
         for number in range(5)
     )
     names = tuple(model.name for model in models)
@@ -100,9 +101,12 @@
     return FleetShape(**(shape | changes))
 
 
-def addis(**changes: Any) -> FleetShape:
+def addis(copies_least: int = 1, **changes: Any) -> FleetShape:
     """Return the Addis Theatre Wigmakers Authority in small."""
-    models = tuple(ModelShape(f'wig-{number}', 800) for number in range(8))
+    models = tuple(
+        ModelShape(f'wig-{number}', 800, copies_least=copies_least)
+        for number in range(8)
+    )
     names = tuple(model.name for model in models)
     shape: dict[str, Any] = {
         'name': 'addis',
--- a/libs/load/src/verbenamux_load/plan.py
+++ b/libs/load/src/verbenamux_load/plan.py
@@ -17,14 +17,15 @@
     """One stream of requests with one key.
 
     `rate` is requests a second; gaps are drawn from an exponential
-    distribution. `expect` names the outcomes that are right for it.
+    distribution. With `repeats` each request leaves that many times at
+    once, under one Idempotency-Key, through whatever gateways.
     """
 
     name: str
     key: str
     kind: CallKind
     rate: float
-    model: str = ''
+    models: tuple[str, ...] = ()
     path: str = ''
     method: str = 'POST'
     prompt_words: int = 32
@@ -32,6 +33,7 @@
     output_tokens: int = 16
     idempotent: bool | None = None
     idempotency_keys: bool = False
+    repeats: int = 1
     deadline_ms: int | None = None
     start: Duration = Duration()
     stop: Duration | None = None
--- a/libs/load/src/verbenamux_load/running.py
+++ b/libs/load/src/verbenamux_load/running.py
@@ -13,7 +13,7 @@
 from verbenamux_load.history import HistoryWriter, Invocation
 from verbenamux_load.plan import Caller, CallKind, LoadPlan
 from verbenamux_load.prompts import digest_of, make_prompt
-from verbenamux_load.sending import is_ready, open_client, send_call
+from verbenamux_load.sending import Call, is_ready, open_client, send_call
 
 PROBE_SECONDS = 0.2
 PROBE_TIMEOUT = timedelta(seconds=1)
@@ -56,13 +56,14 @@
             pause = due - self.now()
             if pause > 0:
                 gevent.sleep(pause)
-            call_id = f'{caller.name}~{number}'
-            self.calls.spawn(
-                self._call,
-                caller,
-                call_id,
-                Random(f'{self.plan.seed}/{call_id}'),
-            )
+            for repeat in range(caller.repeats):
+                call_id = f'{caller.name}~{number * caller.repeats + repeat}'
+                self.calls.spawn(
+                    self._call,
+                    caller,
+                    call_id,
+                    f'key-{caller.name}-{number}',
+                )
 
     def _departures(self, caller: Caller, random: Random) -> Iterator[float]:
         stop = caller.stop or self.plan.duration
@@ -73,7 +74,9 @@
                 return
             yield due
 
-    def _call(self, caller: Caller, call_id: str, random: Random) -> None:
+    def _call(self, caller: Caller, call_id: str, key: str) -> None:
+        random = Random(f'{self.plan.seed}/{call_id}')
+        idempotency_key = key if caller.idempotency_keys else ''
         gateway = self._pick_gateway(random)
         prompt = make_prompt(
             call_id,
@@ -81,22 +84,24 @@
             caller.prompt_words,
             random,
         )
+        model = random.choice(caller.models) if caller.models else ''
         self.history.add(
             Invocation(
                 call_id,
                 caller.name,
                 self.now(),
                 caller.kind.value,
-                caller.model,
+                model,
                 digest_of(prompt),
                 caller.output_tokens,
                 caller.idempotent is not False,
                 gateway,
-                call_id if caller.idempotency_keys else '',
+                idempotency_key,
             ),
         )
         client = self._take_client(gateway)
-        completion = send_call(client, caller, call_id, prompt, self.now)
+        call = Call(caller, call_id, prompt, model, idempotency_key)
+        completion = send_call(client, call, self.now)
         self.history.add(completion)
         if completion.failure or caller.kind is CallKind.STREAM:
             client.close()
--- a/libs/load/src/verbenamux_load/sending.py
+++ b/libs/load/src/verbenamux_load/sending.py
@@ -20,6 +20,17 @@
 NETWORK_ERRORS = (OSError, HTTPConnectionClosed, HTTPParseError)
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request that a caller sends."""
+
+    caller: Caller
+    call_id: str
+    prompt: str
+    model: str = ''
+    idempotency_key: str = ''
+
+
 @dataclass(slots=True)
 class Received:
     """An answer as far as it has come."""
@@ -37,20 +48,18 @@
 
 def send_call(
     client: HTTPClient,
-    caller: Caller,
-    call_id: str,
-    prompt: str,
+    call: Call,
     now: Callable[[], float],
 ) -> Completion:
     """Send a request and return how it ended for the caller."""
     received = Received()
     try:
-        _exchange(client, caller, call_id, prompt, now, received)
+        _exchange(client, call, now, received)
     except (*NETWORK_ERRORS, msgspec.MsgspecError) as error:
         received.failure = repr(error)
     error_body = received.error or {}
     return Completion(
-        call_id,
+        call.call_id,
         now(),
         received.status,
         received.first_token,
@@ -89,24 +98,22 @@
 
 def _exchange(
     client: HTTPClient,
-    caller: Caller,
-    call_id: str,
-    prompt: str,
+    call: Call,
     now: Callable[[], float],
     received: Received,
 ) -> None:
-    method, path = _target(caller)
+    method, path = _target(call.caller)
     response = client.request(
         method,
         path,
-        _body(caller, prompt),
-        _headers(caller, call_id),
+        _body(call),
+        _headers(call.caller, call.idempotency_key),
     )
     received.status = response.status_code
     received.request_id = str(response.get('x-request-id', ''))
     received.retry_after = str(response.get('retry-after', ''))
     if received.status == OK:
-        _read_answer(response, caller, now, received)
+        _read_answer(response, call.caller, now, received)
     else:
         received.error = _error_of(bytes(response.read()))
 
@@ -129,27 +136,28 @@
     return 'POST', CHAT_PATH
 
 
-def _body(caller: Caller, prompt: str) -> bytes:
+def _body(call: Call) -> bytes:
+    caller = call.caller
     if caller.kind is CallKind.SERVICE:
-        return prompt.encode()
+        return call.prompt.encode()
     return msgspec.json.encode(
         {
-            'model': caller.model,
-            'messages': [{'role': 'user', 'content': prompt}],
+            'model': call.model,
+            'messages': [{'role': 'user', 'content': call.prompt}],
             'max_tokens': caller.output_tokens,
             'stream': caller.kind is CallKind.STREAM,
         },
     )
 
 
-def _headers(caller: Caller, call_id: str) -> dict[str, str]:
+def _headers(caller: Caller, idempotency_key: str) -> dict[str, str]:
     headers = {'Content-Type': 'application/json'}
     if caller.key:
         headers['Authorization'] = f'Bearer {caller.key}'
     if caller.idempotent is not None:
         headers['Verbenamux-Idempotent'] = str(caller.idempotent).lower()
-    if caller.idempotency_keys:
-        headers['Idempotency-Key'] = call_id
+    if idempotency_key:
+        headers['Idempotency-Key'] = idempotency_key
     if caller.deadline_ms is not None:
         headers['Verbenamux-Deadline-Ms'] = str(caller.deadline_ms)
     return headers
--- a/libs/placement/src/verbenamux_placement/planner.py
+++ b/libs/placement/src/verbenamux_placement/planner.py
@@ -129,16 +129,22 @@
         ]
 
     def room(self, host: HostState) -> int:
-        kept = self.adapter_room_mb + self.taken_mb[host.name]
-        return host.free_mb - kept
+        return host.free_mb - self.taken_mb[host.name]
 
-    def place(self, model: Model, reason: str) -> Move | None:
+    def place(
+        self,
+        model: Model,
+        reason: str,
+        *,
+        keep_room: bool = True,
+    ) -> Move | None:
+        needed = model.memory_mb + self.adapter_room_mb * keep_room
         fitting = [
             host
             for host in self.hosts_by_name.values()
             if host.may_hold(model.name)
             and host.version_by_model.get(model.name) != model.version
-            and self.room(host) >= model.memory_mb
+            and self.room(host) >= needed
         ]
         if not fitting:
             return None
@@ -171,9 +177,14 @@
 
 def _first_copies(plan: _Plan, models: list[Model]) -> Iterator[Move]:
     for model in models:
-        missing = model.copies_least - len(plan.holders(model.name))
-        for _ in range(missing):
-            move = plan.place(model, 'below its least copies')
+        held = len(plan.holders(model.name))
+        for copy in range(held, model.copies_least):
+            # A model that nobody holds goes before room for adapters.
+            move = plan.place(
+                model,
+                'below its least copies',
+                keep_room=copy > 0,
+            )
             if move is None:
                 move = _make_room(plan, models, model)
             if move is not None:
--- a/libs/runtime/src/verbenamux_runtime/webserver.py
+++ b/libs/runtime/src/verbenamux_runtime/webserver.py
@@ -3,23 +3,42 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
+EncodeError = Callable[[str], bytes]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
 
 LISTEN_BACKLOG = 4096
 CONNECTIONS_MOST = 8192
 HEADER_SECONDS_MOST = 10
+LINGER_SECONDS = 1
+HEADERS_BROKEN = 'a header line has no colon'
+DISCARD_BYTES = 65536
 FIRST_ERROR_STATUS = 400
 
 
+class ErrorServer(WSGIServer):
+    """A server that words its answers to broken requests itself."""
+
+    encode_error: EncodeError
+
+
 class QuietHandler(WSGIHandler):
     """A connection whose request line and headers must come in time."""
 
+    def handle_one_request(self) -> bool | tuple[str, bytes] | None:
+        """Answer one request; a broken one gets the server's own words."""
+        outcome = super().handle_one_request()
+        if isinstance(outcome, tuple):
+            status = outcome[0]
+            return status, self.server.encode_error(status)
+        return outcome
+
     def handle(self) -> None:
         """Answer a connection's requests, each piece sent at once.
 
@@ -28,6 +47,37 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the headers; a line that is none spoils the request.
+
+        The headers behind such a line would be lost without a word.
+        """
+        complete: bool = super().read_request(raw_requestline)
+        if self.headers.defects or self.headers.get_payload():
+            raise ValueError(HEADERS_BROKEN)
+        return complete
+
+    def run_application(self) -> None:
+        """Answer, and close the connection if the body was not all read.
+
+        Reading on would let a caller that was refused hold the connection.
+        """
+        super().run_application()
+        body = self.wsgi_input
+        expected = body.content_length or 0
+        if body.chunked_input or body.position < expected:
+            body.content_length = body.position
+            body.chunked_input = False
+            self.close_connection = True
+            self._linger()
+
+    def _linger(self) -> None:
+        """Let the answer arrive before the connection is reset."""
+        self.socket.shutdown(socket.SHUT_WR)
+        with gevent.Timeout(LINGER_SECONDS, exception=False):
+            while self.socket.recv(DISCARD_BYTES):
+                continue
+
     def log_request(self) -> None:
         """Write nothing: programs log decisions of their own."""
 
@@ -46,21 +96,34 @@
         super().handle_one_response()
 
 
+def encode_plain_error(status: str, body: bytes = b'') -> bytes:
+    """Return a whole raw response for a request that was no HTTP."""
+    head = (
+        f'HTTP/1.1 {reason_phrase(int(status))}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
 def serve(
     address: str,
     application: Application,
     connections: int = CONNECTIONS_MOST,
+    encode_error: EncodeError = encode_plain_error,
 ) -> WSGIServer:
     """Listen on an address and answer with the application.
 
-    Every connection is one greenlet. The caller stops the server.
+    Every connection is one greenlet. The caller stops the server. A
+    request that is no HTTP gets what `encode_error` makes of its status.
     """
     host, _, port = address.rpartition(':')
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
     listener.listen(LISTEN_BACKLOG)
-    server = WSGIServer(
+    server = ErrorServer(
         listener,
         application,
         spawn=Pool(connections),
@@ -68,6 +131,7 @@
         log=None,
         error_log=None,
     )
+    server.encode_error = encode_error
     server.start()
     return server
 
--- /dev/null
+++ b/tests/routing/test_choose.py
@@ -0,0 +1,162 @@
+"""Choosing targets: who may serve, who serves first, and at what cost."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from verbenamux_config.entities import Target, TargetKind
+from verbenamux_contracts.clock import milliseconds
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.messages import Heartbeat, ResidentModel
+from verbenamux_routing.breaker import Breaker, BreakerState
+from verbenamux_routing.choose import (
+    SAMPLE_MOST,
+    RoutingPolicy,
+    make_chooser,
+)
+from verbenamux_routing.retry import RetryBudget
+from verbenamux_routing.score import Need, predict_first_token
+from verbenamux_routing.views import ViewTable
+
+NOW = timedelta(seconds=100)
+NEED = Need(model='m', prompt_tokens=64, output_tokens=16)
+
+
+def heartbeat(name: str, **changes: object) -> Heartbeat:
+    fields: dict[str, object] = {
+        'target': name,
+        'instance': InstanceId(f'{name}-1'),
+        'version': 1,
+        'resident': (ResidentModel('m', 'v1'),),
+        'slots': 4,
+        'decode_ms': 10,
+        'prefill_tokens_per_second': 1000,
+    }
+    return Heartbeat(**(fields | changes))
+
+
+def table_of(*names: str) -> ViewTable:
+    table = ViewTable()
+    table.replace_targets(
+        Target(name, TargetKind.ENGINE, '127.0.0.1:1', 'here') for name in names
+    )
+    for name in names:
+        table.learn(heartbeat(name), NOW)
+    return table
+
+
+def choose(table: ViewTable, excluded: frozenset[str] = frozenset()) -> str:
+    chooser = make_chooser(RoutingPolicy.PREDICTED, 'here', Random(1))
+    choice = chooser(table, NEED, excluded, NOW)
+    return choice.view.target.name if choice else ''
+
+
+@pytest.mark.parametrize('policy', list(RoutingPolicy))
+def test_every_policy_leaves_out_unusable_targets(
+    policy: RoutingPolicy,
+) -> None:
+    table = table_of('left', 'open', 'silent', 'other', 'good')
+    table.learn(heartbeat('left', leaving=True), NOW)
+    table.by_name['open'].breaker = Breaker(BreakerState.OPEN, opened_at=NOW)
+    table.by_name['silent'].alive = False
+    table.learn(heartbeat('other', resident=()), NOW)
+    chooser = make_chooser(policy, 'here', Random(1))
+    for _ in range(10):
+        choice = chooser(table, NEED, frozenset(), NOW)
+        assert choice is not None
+        assert choice.view.target.name == 'good'
+
+
+def test_no_target_is_none() -> None:
+    assert not choose(table_of('a'), frozenset({'a'}))
+
+
+def test_busy_target_is_passed_over() -> None:
+    table = table_of('busy', 'free')
+    table.learn(heartbeat('busy', queued_tokens=5000), NOW)
+    assert choose(table) == 'free'
+
+
+def test_own_sends_since_the_report_count() -> None:
+    table = table_of('a', 'b')
+    table.by_name['a'].load.sent_tokens = 5000
+    assert choose(table) == 'b'
+
+
+def test_cached_prefix_shortens_the_prediction() -> None:
+    table = table_of('warm', 'cold')
+    table.learn(heartbeat('warm', prefixes=(7, 8)), NOW)
+    need = Need(model='m', prompt_tokens=64, prefix_blocks=(7, 8))
+    warm = predict_first_token(table.by_name['warm'], need, NOW, 'here')
+    cold = predict_first_token(table.by_name['cold'], need, NOW, 'here')
+    assert cold.prefill - warm.prefill == milliseconds(64)
+
+
+def test_gap_in_cache_events_forgets_the_map() -> None:
+    table = table_of('a')
+    table.learn(heartbeat('a', prefixes=(1, 2)), NOW)
+    table.learn(heartbeat('a', prefixes=(9,), prefixes_trusted=False), NOW)
+    assert list(table.by_name['a'].prefixes) == [9]
+
+
+def test_old_report_makes_a_target_look_busier() -> None:
+    table = table_of('a')
+    view = table.by_name['a']
+    fresh = predict_first_token(view, NEED, NOW, 'here')
+    later = NOW + timedelta(seconds=10)
+    assert predict_first_token(view, NEED, later, 'here').total > fresh.total
+
+
+def test_restart_is_not_taken_for_the_instance_that_left() -> None:
+    table = table_of('a')
+    table.learn(heartbeat('a', leaving=True), NOW)
+    assert not table.by_name['a'].usable
+    table.learn(heartbeat('a', instance=InstanceId('a-2')), NOW)
+    assert table.by_name['a'].usable
+
+
+def test_only_a_sample_of_a_large_fleet_is_scored() -> None:
+    table = table_of(*(f't{number}' for number in range(200)))
+    chooser = make_chooser(RoutingPolicy.PREDICTED, 'here', Random(1))
+    choice = chooser(table, NEED, frozenset(), NOW)
+    assert choice is not None
+    assert len(choice.scores) <= SAMPLE_MOST
+
+
+def test_last_usable_target_is_found_outside_the_sample() -> None:
+    table = table_of(*(f't{number}' for number in range(50)))
+    for name, view in table.by_name.items():
+        view.alive = name == 't49'
+    assert choose(table) == 't49'
+
+
+def test_breaker_sends_one_probe_when_half_open() -> None:
+    breaker = Breaker()
+    for _ in range(3):
+        breaker.fail(NOW)
+    assert not breaker.allows(NOW)
+    later = NOW + breaker.cooldown
+    assert breaker.allows(later)
+    breaker.begin()
+    assert not breaker.allows(later)
+    breaker.succeed()
+    assert breaker.allows(later)
+
+
+def test_failed_probe_doubles_the_cooldown() -> None:
+    breaker = Breaker()
+    for _ in range(3):
+        breaker.fail(NOW)
+    first = breaker.cooldown
+    breaker.begin()
+    breaker.fail(NOW)
+    assert breaker.cooldown == 2 * first
+
+
+def test_retry_budget_runs_out_and_is_earned_back() -> None:
+    budget = RetryBudget(balance=1)
+    assert budget.spend()
+    assert not budget.spend()
+    for _ in range(5):
+        budget.earn()
+    assert budget.spend()
