Mend what pauses and outages broke; add experiments and baselines

Cause and change, each found by a scenario and held by a test or scenario: - A request that reached a frozen gateway over an idle connection was closed without an answer: on thawing, the connection's time limit fired before the waiting bytes were read. The limit now looks for input first. Appends are repeated while the request waits, which does no harm as the first claim wins.

Added: experiments from a JSON list with baselines set by the gateway's settings (round robin, least outstanding, static placement, fixed shares).

--- a/libs/admission/src/verbenamux_admission/escrow.py
+++ b/libs/admission/src/verbenamux_admission/escrow.py
@@ -73,8 +73,9 @@
 class Escrow:
     """Spends, lends and borrows tokens of the units this holder has.
 
-    Nothing is spent or lent without a lease that is still valid. All
-    amounts are whole tokens at the border.
+    Of its own, nothing is spent or lent without a lease that is still
+    valid; loans are good until they run out. All amounts are whole tokens
+    at the border.
     """
 
     def __init__(
@@ -141,12 +142,9 @@
 
     def take(self, workspace: str, tokens: int) -> bool:
         """Spend tokens, borrowed ones first; False leaves all as it is."""
-        if not self.lease.is_valid(self._clock.elapsed()):
-            return False
         bucket = self._refill(workspace)
         wanted = tokens * MICRO
-        borrowed = sum(loan.micros for loan in bucket.borrowed)
-        if borrowed + bucket.balance < wanted:
+        if self._at_hand(bucket) < wanted:
             return False
         for loan in bucket.borrowed:
             part = min(loan.micros, wanted)
@@ -158,8 +156,7 @@
     def missing(self, workspace: str, tokens: int) -> int:
         """Return how many tokens are lacking for a request."""
         bucket = self._refill(workspace)
-        have = bucket.balance + sum(loan.micros for loan in bucket.borrowed)
-        lacking = max(0, tokens * MICRO - have)
+        lacking = max(0, tokens * MICRO - self._at_hand(bucket))
         return -(-lacking // MICRO)
 
     def lend(self, workspace: str, tokens: int, at_most: int = 0) -> int:
@@ -240,6 +237,13 @@
         self._trim(workspace, bucket)
         return bucket
 
+    def _at_hand(self, bucket: Bucket) -> int:
+        """Return micros that may be spent now."""
+        borrowed = sum(loan.micros for loan in bucket.borrowed)
+        if not self.lease.is_valid(self._clock.elapsed()):
+            return borrowed
+        return borrowed + bucket.balance
+
     def _cap(self, workspace: str, bucket: Bucket) -> int:
         limits = self._limits_of(workspace)
         if limits is None:
--- a/libs/gateway/src/verbenamux_gateway/claims.py
+++ b/libs/gateway/src/verbenamux_gateway/claims.py
@@ -41,6 +41,7 @@
     decide: Decide
     table: ClaimTable = field(default_factory=ClaimTable)
     caught_up: bool = False
+    failing_since: timedelta | None = None
     _waiting_by_digest: dict[str, list[AsyncResult]] = field(
         default_factory=dict,
     )
@@ -60,7 +61,7 @@
         must never run twice, and the caller may come back.
         """
         digest = claim_digest(workspace, idempotency_key)
-        if not self.caught_up:
+        if not self.caught_up or self._is_down():
             return _unavailable()
         owner = self.table.owner(digest)
         if owner is not None:
@@ -89,8 +90,9 @@
                 CLAIMS_STREAM,
                 msgspec.json.encode(batch),
             )
-            if not is_successful(appended) and batch.releases:
-                self._releases.extend(batch.releases)
+            if not is_successful(appended):
+                self._append_again(batch)
+                self.clock.sleep(RETRY_PAUSE)
 
     def follow(self) -> None:
         """Read the claims stream for ever."""
@@ -105,9 +107,10 @@
                 if failure.fault is PlatformFault.EXPIRED:
                     self.table.through_offset = failure.first_offset
                 else:
-                    self.caught_up = False
+                    self._note_failure()
                     self.clock.sleep(RETRY_PAUSE)
                 continue
+            self.failing_since = None
             read = batch.unwrap()
             self.table.fold(read.first_offset, read.bodies)
             self.caught_up = self.caught_up or not read.bodies
@@ -127,6 +130,28 @@
             self._stop_waiting(digest, waiting)
         return None if owner == request_id else _used(owner)
 
+    def _append_again(self, batch: ClaimBatch) -> None:
+        """Keep what is still wanted; a claim made twice does no harm."""
+        self._claims.extend(
+            claim
+            for claim in batch.claims
+            if claim.digest in self._waiting_by_digest
+        )
+        self._releases.extend(batch.releases)
+        if self._claims or self._releases:
+            self._filled.set()
+
+    def _note_failure(self) -> None:
+        if self.failing_since is None:
+            self.failing_since = self.clock.elapsed()
+
+    def _is_down(self) -> bool:
+        """Tell whether the log has been away for longer than a claim waits."""
+        since = self.failing_since
+        return (
+            since is not None and self.clock.elapsed() - since > CLAIM_TIMEOUT
+        )
+
     def _release(self, digest: str, request_id: str) -> None:
         self._releases.append(Claim(digest, request_id))
         self._filled.set()
--- a/libs/gateway/src/verbenamux_gateway/following.py
+++ b/libs/gateway/src/verbenamux_gateway/following.py
@@ -103,7 +103,8 @@
         )
         if is_successful(batch):
             self._fold(batch.unwrap())
-            self.touch(asked_at)
+            if len(batch.unwrap().bodies) < READ_LIMIT:
+                self.touch(asked_at)
         else:
             self._recover(batch.failure())
         self.tried_at = asked_at
--- a/libs/gateway/src/verbenamux_gateway/rates.py
+++ b/libs/gateway/src/verbenamux_gateway/rates.py
@@ -93,13 +93,13 @@
         limits = self.limits_of(workspace)
         if limits is None or tokens > limits.burst:
             return _over_burst(tokens, limits)
-        self._wait_for_lease()
         if self._take(workspace, tokens):
             return None
-        for peer_name in self._lenders(workspace):
-            self._borrow(peer_name, workspace, tokens, limits)
-            if self._take(workspace, tokens):
-                return None
+        if self._take_with_loans(workspace, tokens, limits):
+            return None
+        usable = self._wait_until_usable(workspace)
+        if usable and self._take_with_loans(workspace, tokens, limits):
+            return None
         return self._refusal(workspace, tokens)
 
     def settle(self, workspace: str, reserved: int, used: int) -> None:
@@ -131,15 +131,36 @@
         self.spent.clear()
         return dict(moves)
 
-    def _wait_for_lease(self) -> None:
-        """Wait a little for a lease that is being renewed.
+    def _take_with_loans(
+        self,
+        workspace: str,
+        tokens: int,
+        limits: Limits,
+    ) -> bool:
+        """Borrow from one holder after the other until it is enough."""
+        for peer_name in self._lenders(workspace):
+            self._borrow(peer_name, workspace, tokens, limits)
+            if self._take(workspace, tokens):
+                return True
+        return self._take(workspace, tokens)
+
+    def _wait_until_usable(self, workspace: str) -> bool:
+        """Wait a little for a lease or a claim that is on its way.
 
-        After a pause the lease has run out, and comes back with the next
-        renewal.
+        After a pause the lease has run out, and a workspace that was just
+        declared is not claimed yet. False when there is nothing to wait for.
         """
+        if self._is_usable(workspace):
+            return False
         until = self.clock.elapsed() + LEASE_WAIT
-        while not self.ready and self.clock.elapsed() < until:
+        while self.clock.elapsed() < until:
+            if self._is_usable(workspace):
+                return True
             self.clock.sleep(LEASE_CHECK)
+        return False
+
+    def _is_usable(self, workspace: str) -> bool:
+        return self.ready and self.escrow.book.is_claimed(workspace)
 
     def _take(self, workspace: str, tokens: int) -> bool:
         taken = self.escrow.take(workspace, tokens)
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -60,6 +60,7 @@
     decide: Decide
     generation: 'itertools.count[int]' = field(default_factory=itertools.count)
     caught_up: bool = False
+    log_up: bool = False
     unsure: bool = False
     appended: set[str] = field(default_factory=set)
     seen_at_by_holder: dict[str, timedelta] = field(default_factory=dict)
@@ -82,8 +83,10 @@
             if not is_successful(batch):
                 if batch.failure().fault is PlatformFault.EXPIRED:
                     self._restore()
+                self.log_up = False
                 self.clock.sleep(RETRY_PAUSE)
                 continue
+            self.log_up = True
             read = batch.unwrap()
             self.escrow.fold(read.first_offset, read.bodies)
             if not read.bodies:
@@ -91,15 +94,12 @@
 
     def renew(self, addresses: list[str]) -> None:
         """Renew the lease, or take a fresh name when that cannot be."""
-        if not self._is_registered():
-            self._register(addresses)
-        self._ask_witnesses()
         lease = self.escrow.lease
+        self._ask_witnesses(self.escrow.holder, lease)
         gone = set(lease.witnesses) - set(addresses)
         lost = not lease.is_valid(self.clock.elapsed())
         if gone or lost or self.unsure:
             self._register(addresses)
-            self._ask_witnesses()
 
     def claim(self, workspaces: list[str]) -> None:
         """Claim workspaces that nobody holds, once the book is known."""
@@ -200,16 +200,23 @@
         return self.escrow.holder in self.escrow.book.witnesses_by_holder
 
     def _register(self, addresses: list[str]) -> None:
-        """Take a fresh holder name with witnesses of its own."""
+        """Take a fresh holder name with witnesses of its own.
+
+        The old name is given up only once the new one has its lease.
+        """
         if not addresses or not self.caught_up:
             return
         holder = f'{self.name}/{self.instance}/{next(self.generation)}'
         witnesses = tuple(pick(holder, addresses, WITNESSES))
         if not self._append(records.HolderStart(holder, witnesses)):
             return
+        lease = self._new_lease(witnesses)
+        self._ask_witnesses(holder, lease)
+        if not lease.is_valid(self.clock.elapsed()):
+            return
         self.unsure = False
         old, held = self.escrow.holder, self._held_units()
-        self.escrow.rename(holder, self._new_lease(witnesses))
+        self.escrow.rename(holder, lease)
         if held:
             self._append(records.GrantUnits(old, holder, held))
         self.decide('holder', holder=holder, witnesses=witnesses)
@@ -228,6 +235,8 @@
         return {workspace: units for workspace, units in held.items() if units}
 
     def _grant(self, receiver: str, wanted: dict[str, int]) -> None:
+        if not self.log_up:
+            return
         parted = {
             workspace: self.escrow.part_with(workspace, units)
             for workspace, units in wanted.items()
@@ -239,22 +248,26 @@
         if not self._append(record):
             self.unsure = True
 
-    def _ask_witnesses(self) -> None:
+    def _ask_witnesses(self, holder: str, lease: HolderLease) -> None:
         asks = [
-            gevent.spawn(self._ask_witness, witness)
-            for witness in self.escrow.lease.witnesses
+            gevent.spawn(self._ask_witness, witness, holder, lease)
+            for witness in lease.witnesses
         ]
         gevent.joinall(asks)
 
-    def _ask_witness(self, witness: str) -> None:
+    def _ask_witness(
+        self,
+        witness: str,
+        holder: str,
+        lease: HolderLease,
+    ) -> None:
         asked_at = self.clock.elapsed()
         ask_id = new_attempt_id()
         ask = LeaseAsk(
             ask_id,
-            InstanceId(self.escrow.holder),
+            InstanceId(holder),
             to_milliseconds(self.lease_time),
         )
-        lease = self.escrow.lease
         promise = self._ask(witness, ask_id, ask)
         if isinstance(promise, LeasePromise) and promise.granted:
             lease.renew(
--- a/libs/harness/src/verbenamux_harness/cli.py
+++ b/libs/harness/src/verbenamux_harness/cli.py
@@ -6,8 +6,10 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
+from verbenamux_harness import experiment
 from verbenamux_harness.demo import run_demo
 from verbenamux_harness.fleet import running
 from verbenamux_harness.proving import choose, markdown, prove
@@ -18,6 +20,8 @@
     no_args_is_help=True,
 )
 SCENARIOS = Path('scenarios')
+CASES = Path('experiments/cases.json')
+RESULTS = Path('build/experiment')
 
 
 @app.command()
@@ -77,6 +81,34 @@
         raise typer.Exit(1)
 
 
+@app.command('experiment')
+def experiment_command(
+    cases: Path = CASES,
+    output: Path = RESULTS,
+    only: str = '',
+) -> None:
+    """Run the experiments' cases; write JSON, a Markdown table and a plot."""
+    from verbenamux_harness.plots import plot_attainment
+
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-experiment-'))
+    output.mkdir(parents=True, exist_ok=True)
+    chosen = [
+        case for case in experiment.read_cases(cases) if only in case.name
+    ]
+    figures = []
+    for each in experiment.run_cases(chosen, folder):
+        figures.append(each)
+        typer.echo(f'{each.case} {each.policy} {each.seed}', err=True)
+    (output / 'figures.json').write_bytes(
+        msgspec.json.format(msgspec.json.encode(figures)),
+    )
+    lines = list(experiment.table(figures))
+    (output / 'table.md').write_text('\n'.join(lines) + '\n')
+    plot_attainment(figures, output / 'attainment.png')
+    for line in lines:
+        typer.echo(line)
+
+
 def main() -> None:
     """Run the console script."""
     app()
--- a/libs/harness/src/verbenamux_harness/fleet.py
+++ b/libs/harness/src/verbenamux_harness/fleet.py
@@ -84,7 +84,7 @@
     def configure(self) -> None:
         """Apply the shape's configuration as one patch."""
         for workspace in self.shape.workspaces:
-            self.key_by_workspace[workspace.name] = f'key-{workspace.name}'
+            self.key_by_workspace[workspace.name] = f'vk-{workspace.name}'
         self.patch(operations(self))
 
     def patch(self, changes: list[dict[str, Any]]) -> None:
@@ -365,7 +365,19 @@
         'rates': {'lease': fleet.shape.lease},
         'hello': '500ms',
     }
-    return settings | fleet.shape.gateway_extra
+    return merge(settings, fleet.shape.gateway_extra)
+
+
+def merge(base: dict[str, Any], extra: dict[str, Any]) -> dict[str, Any]:
+    """Return settings with others laid over them, level by level."""
+    merged = dict(base)
+    for name, setting in extra.items():
+        known = merged.get(name)
+        if isinstance(known, dict) and isinstance(setting, dict):
+            merged[name] = merge(known, setting)
+        else:
+            merged[name] = setting
+    return merged
 
 
 def agent_settings(fleet: Fleet, target: str) -> dict[str, Any]:
--- a/libs/harness/src/verbenamux_harness/shapes.py
+++ b/libs/harness/src/verbenamux_harness/shapes.py
@@ -86,6 +86,8 @@
                 ('hire-ledger',),
             ),
             WorkspaceShape('noisy', 300, 600, names[:2]),
+            WorkspaceShape('steady', 350, 500, names[:2]),
+            WorkspaceShape('single', PASSABLE_RATE, PASSABLE_RATE, names[:1]),
         ),
         'services': {'hire-ledger': False},
         'adapters': {'waiver-fr': 'desk-0'},
@@ -118,6 +120,7 @@
         'workspaces': (
             WorkspaceShape('opera', PASSABLE_RATE, PASSABLE_RATE, names),
             WorkspaceShape('film', PASSABLE_RATE, PASSABLE_RATE, names[:4]),
+            WorkspaceShape('single', PASSABLE_RATE, PASSABLE_RATE, names[:1]),
             WorkspaceShape('fringe', 400, 800, names[:2], ('wig-desk',)),
         ),
         'services': {'wig-desk': False},
--- a/libs/load/src/verbenamux_load/running.py
+++ b/libs/load/src/verbenamux_load/running.py
@@ -62,7 +62,7 @@
                     self._call,
                     caller,
                     call_id,
-                    f'key-{caller.name}-{number}',
+                    f'idem-{caller.name}-{number}',
                 )
 
     def _departures(self, caller: Caller, random: Random) -> Iterator[float]:
--- a/libs/runtime/src/verbenamux_runtime/webserver.py
+++ b/libs/runtime/src/verbenamux_runtime/webserver.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import gevent
-from gevent import socket
+from gevent import Timeout, socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.select import select
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -74,9 +74,10 @@
     def _linger(self) -> None:
         """Let the answer arrive before the connection is reset."""
         self.socket.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(LINGER_SECONDS, exception=False):
-            while self.socket.recv(DISCARD_BYTES):
-                continue
+        with Timeout(LINGER_SECONDS, exception=False):
+            discarded = b'-'
+            while discarded:
+                discarded = self.socket.recv(DISCARD_BYTES)
 
     def log_request(self) -> None:
         """Write nothing: programs log decisions of their own."""
@@ -87,9 +88,24 @@
     def read_requestline(self) -> str:
         """Read the request line, bounding how long headers may take."""
         self.socket.settimeout(HEADER_SECONDS_MOST)
-        line: str = super().read_requestline()
+        line: str
+        try:
+            line = super().read_requestline()
+        except TimeoutError:
+            self._recover_from_pause()
+            line = super().read_requestline()
         return line
 
+    def _recover_from_pause(self) -> None:
+        """Go on with a request that came while this process stood still.
+
+        Then the time limit ran out although the caller kept to it. Raises
+        TimeoutError when nothing has come.
+        """
+        if not select([self.socket], [], [], 0)[0]:
+            raise TimeoutError
+        self.rfile = self.socket.makefile('rb')
+
     def handle_one_response(self) -> None:
         """Answer without the limit that held while headers came in."""
         self.socket.settimeout(None)
