Split large modules and share the daemons' command line

Behaviour stays; every test keeps its assertions.

Also: one task wakes silent attempts instead of a timer for each message, and a running request's permit is checked at most ten times a second.

Tried and reverted: joining an agent's messages for a gateway into bundles for two milliseconds. Conclusion: not kept.

--- /dev/null
+++ b/libs/agent/src/verbenamux_agent/build.py
@@ -0,0 +1,88 @@
+"""Putting an agent's parts together."""
+
+from collections.abc import Callable
+
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.ids import new_instance_id
+from verbenamux_contracts.messages import AnyMessage, Dispatch, Message, Refused
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.peers import PeerServer
+
+from verbenamux_agent.agent import Agent
+from verbenamux_agent.attempts import AttemptTable
+from verbenamux_agent.execution import Executor
+from verbenamux_agent.holdings import Holdings
+from verbenamux_agent.prefixes import PrefixFollower
+from verbenamux_agent.settings import AgentSettings
+from verbenamux_agent.subscribers import SubscriberTable
+from verbenamux_agent.target import TargetClient
+from verbenamux_agent.witness import Witness
+from verbenamux_agent.worklist import Pace, WorkList
+
+SPARE_CONNECTIONS = 8
+
+
+def build_agent(settings: AgentSettings) -> Agent:
+    """Return an agent with all its parts, not yet running."""
+    clock = SystemClock()
+    instance = new_instance_id(settings.name)
+    log = DecisionLog('agent', instance, clock)
+    client = TargetClient(
+        settings.target.address,
+        settings.target.slots + SPARE_CONNECTIONS,
+    )
+    parts: list[Agent] = []
+
+    def handle(gateway: bytes, message: AnyMessage) -> None:
+        parts[0].handle(gateway, message)
+
+    def prepare(dispatch: Dispatch) -> Refused | None:
+        return parts[0].prepare(dispatch)
+
+    server = PeerServer(settings.address, handle)
+    work = _build_work(settings, instance, clock, server.send, prepare)
+    work.executor = Executor(client, settings.target.kind, clock, work.emit)
+    agent = Agent(
+        settings=settings,
+        instance=instance,
+        clock=clock,
+        log=log,
+        work=work,
+        holdings=Holdings(
+            client,
+            clock,
+            settings.target.settle,
+            settings.limits.adapter_loads,
+            log.write,
+        ),
+        prefixes=PrefixFollower(client),
+        witness=Witness(
+            settings.known_as or settings.address,
+            instance,
+            settings.lease,
+            clock,
+        ),
+        subscribers=SubscriberTable(clock, server.send),
+        server=server,
+    )
+    parts.append(agent)
+    return agent
+
+
+def _build_work(
+    settings: AgentSettings,
+    instance: str,
+    clock: SystemClock,
+    send: Callable[[bytes, Message], bool],
+    prepare: Callable[[Dispatch], Refused | None],
+) -> WorkList:
+    limits = settings.limits
+    return WorkList(
+        instance,
+        clock,
+        AttemptTable(limits.answer_kept, limits.answers_size),
+        Pace(settings.target.slots),
+        limits.queue_requests,
+        send,
+        prepare,
+    )
--- /dev/null
+++ b/libs/agent/src/verbenamux_agent/running.py
@@ -0,0 +1,59 @@
+"""Running an agent: its loops, and how it leaves."""
+
+from datetime import timedelta
+
+import gevent
+from verbenamux_platform.http import parse_endpoint
+from verbenamux_platform.log import LogClient
+from verbenamux_runtime.program import every, stop_on_signal
+
+from verbenamux_agent.agent import Agent
+
+HOUSEKEEPING = timedelta(seconds=1)
+DRAIN_STEP = timedelta(milliseconds=50)
+DRAIN_MOST = timedelta(minutes=10)
+LAST_MESSAGES = timedelta(milliseconds=500)
+
+
+def run_agent(agent: Agent) -> None:
+    """Serve until SIGTERM, then leave without cutting off an attempt."""
+    stop = stop_on_signal()
+    log = LogClient(parse_endpoint(agent.settings.log))
+    gevent.spawn(_announce, agent, log)
+
+    def report_error(error: Exception) -> None:
+        agent.log.write('loop_error', cause=repr(error))
+
+    every(agent.settings.report, agent.watch_target, report_error)
+    every(agent.settings.heartbeat, agent.publish, report_error)
+    every(HOUSEKEEPING, agent.keep_house, report_error)
+    gevent.spawn(_publish_changes, agent)
+    gevent.spawn(agent.server.run)
+    agent.log.write('started', address=agent.settings.address)
+    stop.wait()
+    _drain(agent)
+
+
+def _announce(agent: Agent, log: LogClient) -> None:
+    epoch = agent.witness.announce(log)
+    agent.holdings.fence.epoch = epoch
+    agent.log.write('epoch', epoch=epoch)
+
+
+def _publish_changes(agent: Agent) -> None:
+    while True:
+        agent.holdings.changed.wait()
+        agent.holdings.changed.clear()
+        agent.publish_change()
+
+
+def _drain(agent: Agent) -> None:
+    agent.leave()
+    agent.log.write('draining', unfinished=len(agent.work.table.unfinished()))
+    left = DRAIN_MOST
+    while agent.work.table.unfinished() and left > timedelta():
+        agent.clock.sleep(DRAIN_STEP)
+        left -= DRAIN_STEP
+    agent.clock.sleep(LAST_MESSAGES)
+    agent.server.close()
+    agent.log.write('stopped')
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/accounts.py
@@ -0,0 +1,142 @@
+"""What a request spends and claims, and how both are settled."""
+
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+from returns.pipeline import is_successful
+from verbenamux_config.access import authenticate
+from verbenamux_contracts.errors import (
+    ErrorCode,
+    RequestFailure,
+    RequestRejectedError,
+    Run,
+)
+
+from verbenamux_gateway.admission import Admitted
+from verbenamux_gateway.border import Incoming
+from verbenamux_gateway.delivery import Delivery
+from verbenamux_gateway.gateway import Gateway
+
+REQUESTS = 'verbenamux_requests_total'
+FIRST_TOKEN = 'verbenamux_time_to_first_token_seconds'
+PERMIT_LIFETIME = timedelta(milliseconds=100)
+
+Permit = Callable[[], RequestFailure | None]
+
+
+def spend(gateway: Gateway, admitted: Admitted, tokens: int) -> None:
+    """Spend a request's tokens; raises RequestRejectedError without them."""
+    if not admitted.workspace:
+        return
+    failure = gateway.gate.admit(admitted.workspace, tokens)
+    if failure is not None:
+        raise RequestRejectedError(failure)
+
+
+def claim(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+) -> RequestFailure | None:
+    """Own a request's Idempotency-Key, if it has one, or say why not."""
+    idempotency_key = incoming.options.idempotency_key
+    if not idempotency_key:
+        return None
+    return gateway.claims.claim(
+        admitted.workspace,
+        idempotency_key,
+        admitted.work.request_id,
+    )
+
+
+def make_permit(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+) -> Permit:
+    """Return the check that a running request must keep passing.
+
+    A check that passed is good for a moment, so that a stream does not
+    pay for one with each piece.
+    """
+    passed_at: timedelta | None = None
+
+    def permit() -> RequestFailure | None:
+        nonlocal passed_at
+        now = gateway.clock.elapsed()
+        if passed_at is not None and now - passed_at < PERMIT_LIFETIME:
+            return None
+        failure = check()
+        passed_at = gateway.clock.elapsed() if failure is None else None
+        return failure
+
+    def check() -> RequestFailure | None:
+        if not gateway.wait_fresh(admitted.work.deadline):
+            return RequestFailure(
+                ErrorCode.STALE_CONFIGURATION,
+                'this gateway has heard neither the log nor a peer lately',
+            )
+        if not admitted.workspace:
+            return None
+        identified = authenticate(gateway.configuration, incoming.key_hash)
+        if is_successful(identified):
+            return None
+        return identified.failure()
+
+    return permit
+
+
+def settled_pieces(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+    delivery: Delivery,
+) -> Iterator[bytes]:
+    """Yield the answer's pieces, and settle rate and claim at the end."""
+    work = admitted.work
+    arrived = gateway.clock.elapsed()
+    first = True
+    outcome = 'cancelled'
+    try:
+        for piece in delivery.pieces():
+            if first:
+                first = False
+                elapsed = gateway.clock.elapsed() - arrived
+                gateway.metrics.observe(FIRST_TOKEN, elapsed)
+            yield piece
+        outcome = 'whole'
+    except RequestRejectedError as rejected:
+        outcome = rejected.failure.code.value
+        raise
+    finally:
+        _settle(gateway, incoming, admitted, delivery)
+        gateway.metrics.count(REQUESTS, outcome=outcome)
+        gateway.log.write(
+            'outcome',
+            request_id=work.request_id,
+            workspace=work.workspace,
+            outcome=outcome,
+            run=delivery.known_run.value,
+            attempts=delivery.attempts,
+            tokens=delivery.tokens,
+        )
+
+
+def _settle(
+    gateway: Gateway,
+    incoming: Incoming,
+    admitted: Admitted,
+    delivery: Delivery,
+) -> None:
+    reserved = admitted.work.need.tokens
+    not_run = delivery.known_run is Run.NOT_RUN
+    used = 0 if not_run else delivery.tokens or reserved
+    if admitted.workspace:
+        gateway.gate.settle(admitted.workspace, reserved, used)
+    idempotency_key = incoming.options.idempotency_key
+    if idempotency_key and not_run:
+        gateway.claims.release(
+            admitted.workspace,
+            idempotency_key,
+            admitted.work.request_id,
+        )
--- a/libs/gateway/src/verbenamux_gateway/admission.py
+++ b/libs/gateway/src/verbenamux_gateway/admission.py
@@ -24,8 +24,8 @@
     output_tokens,
     rewrite_body,
 )
-from verbenamux_gateway.delivery import Work
 from verbenamux_gateway.gateway import Gateway
+from verbenamux_gateway.work import Work
 
 CHAT_PATH = '/v1/chat/completions'
 TEXT_PATH = '/v1/completions'
--- a/libs/gateway/src/verbenamux_gateway/build.py
+++ b/libs/gateway/src/verbenamux_gateway/build.py
@@ -17,7 +17,6 @@
 from verbenamux_runtime.peers import PeerLink, PeerServer
 
 from verbenamux_gateway.claims import ClaimKeeper
-from verbenamux_gateway.delivery import Tools
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.following import Follower
 from verbenamux_gateway.gateway import Gateway
@@ -26,6 +25,7 @@
 from verbenamux_gateway.rates import EscrowGate, FixedGate, RateGate, SpendMeter
 from verbenamux_gateway.settings import GatewaySettings, RatePolicy
 from verbenamux_gateway.shares import ShareKeeper
+from verbenamux_gateway.work import Tools
 
 
 def build_gateway(
--- a/libs/gateway/src/verbenamux_gateway/delivery.py
+++ b/libs/gateway/src/verbenamux_gateway/delivery.py
@@ -3,16 +3,14 @@
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
-from queue import Empty
 
-from verbenamux_contracts.clock import Clock, milliseconds, to_milliseconds
+from verbenamux_contracts.clock import milliseconds, to_milliseconds
 from verbenamux_contracts.errors import (
     ErrorCode,
     RequestFailure,
     RequestRejectedError,
     Run,
 )
-from verbenamux_contracts.ids import RequestId
 from verbenamux_contracts.messages import (
     Broken,
     Chunk,
@@ -23,11 +21,10 @@
     Resume,
     Started,
 )
-from verbenamux_routing.choose import Choice, Chooser
-from verbenamux_routing.retry import RetryBudget
-from verbenamux_routing.score import Need
+from verbenamux_routing.choose import Choice
 
-from verbenamux_gateway.fleet import Fleet, Pending
+from verbenamux_gateway.fleet import Pending
+from verbenamux_gateway.work import Tools, Work
 
 PROBE_AFTER = timedelta(milliseconds=500)
 LOST_AFTER = timedelta(seconds=3)
@@ -43,43 +40,9 @@
 BUSY_CODES = frozenset((ErrorCode.QUEUE_FULL, ErrorCode.DEADLINE_UNREACHABLE))
 AGENT_LOST = 'the agent does not answer'
 
-Decide = Callable[..., None]
 Permit = Callable[[], RequestFailure | None]
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
-    """A request that was admitted, ready for any target.
-
-    The deadline is on this gateway's monotonic clock. An answer that is
-    not resumable is held here until it is whole.
-    """
-
-    request_id: RequestId
-    workspace: str
-    weight: int
-    need: Need
-    path: str
-    method: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    idempotent: bool
-    priority: int
-    deadline: timedelta
-    resumable: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class Tools:
-    """What every delivery shares."""
-
-    fleet: Fleet
-    clock: Clock
-    choose: Chooser
-    budget: RetryBudget
-    decide: Decide
-
-
 @dataclass(slots=True)
 class Delivery:
     """One request's way to its outcome.
@@ -204,7 +167,7 @@
         ending: End | Broken | None = None
         while ending is None:
             self._check_permit()
-            message = self._next_message(pending)
+            message = pending.inbox.get()
             if message is None:
                 ending = self._probe(pending, heard_at)
                 continue
@@ -215,12 +178,6 @@
                 ending = self._take(pending, message)
         return ending
 
-    def _next_message(self, pending: Pending) -> Message | None:
-        try:
-            return pending.inbox.get(timeout=PROBE_AFTER.total_seconds())
-        except Empty:
-            return None
-
     def _take_chunk(self, pending: Pending, chunk: Chunk) -> Iterator[bytes]:
         if chunk.index > pending.next_index:
             self._ask_again(pending)
--- a/libs/gateway/src/verbenamux_gateway/fleet.py
+++ b/libs/gateway/src/verbenamux_gateway/fleet.py
@@ -33,14 +33,18 @@
 
 @dataclass(slots=True)
 class Pending:
-    """One attempt that this gateway waits for."""
+    """One attempt that this gateway waits for.
+
+    None in the inbox means that nothing has come for a while.
+    """
 
     attempt_id: AttemptId
     view: TargetView
     link: PeerLink
     instance: str
     next_index: int = 0
-    inbox: SimpleQueue[Message] = field(default_factory=SimpleQueue)
+    inbox: SimpleQueue[Message | None] = field(default_factory=SimpleQueue)
+    heard: bool = True
 
 
 class Fleet:
@@ -128,6 +132,16 @@
         if cancel:
             pending.link.send(Cancel(pending.attempt_id))
 
+    def tick(self) -> None:
+        """Wake the attempts that have heard nothing since the last tick.
+
+        One task for all costs less than a timer for each message.
+        """
+        for pending in list(self._pending_by_id.values()):
+            if not pending.heard:
+                pending.inbox.put(None)
+            pending.heard = False
+
     def check_silence(self) -> None:
         """Stop using targets whose agent has been silent for too long."""
         now = self._clock.elapsed()
@@ -172,4 +186,5 @@
                 message.queued_tokens,
                 self._clock.elapsed(),
             )
+        pending.heard = True
         pending.inbox.put(message)
--- a/libs/gateway/src/verbenamux_gateway/gateway.py
+++ b/libs/gateway/src/verbenamux_gateway/gateway.py
@@ -22,7 +22,6 @@
 from verbenamux_runtime.peers import PeerLink, PeerServer, Traffic
 
 from verbenamux_gateway.claims import ClaimKeeper
-from verbenamux_gateway.delivery import Tools
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.following import Follower
 from verbenamux_gateway.peering import PeerTable, PeerView
@@ -30,6 +29,7 @@
 from verbenamux_gateway.rates import EscrowGate, RateGate
 from verbenamux_gateway.settings import GatewaySettings
 from verbenamux_gateway.shares import ShareKeeper
+from verbenamux_gateway.work import Tools
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -17,6 +17,7 @@
 from verbenamux_gateway.settings import RatePolicy
 
 HOSTS_INTERVAL = timedelta(seconds=1)
+TICK = timedelta(milliseconds=300)
 SILENCE_CHECK = timedelta(milliseconds=500)
 CLAIM_INTERVAL = timedelta(milliseconds=200)
 SPREAD_INTERVAL = timedelta(seconds=1)
@@ -58,6 +59,7 @@
     settings = gateway.settings
     _loop(gateway, settings.hello, gateway.greet)
     _loop(gateway, SILENCE_CHECK, gateway.fleet.check_silence)
+    _loop(gateway, TICK, gateway.fleet.tick)
     _loop(
         gateway,
         settings.planning.interval,
--- a/libs/gateway/src/verbenamux_gateway/server.py
+++ b/libs/gateway/src/verbenamux_gateway/server.py
@@ -6,7 +6,6 @@
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
-from verbenamux_config.access import authenticate
 from verbenamux_contracts.errors import (
     ErrorCode,
     RequestFailure,
@@ -17,7 +16,7 @@
 from verbenamux_runtime import metrics
 from verbenamux_runtime.webserver import Application, StartResponse
 
-from verbenamux_gateway import answers, completions
+from verbenamux_gateway import accounts, answers, completions
 from verbenamux_gateway.admission import (
     BODY_BY_PATH,
     Admitted,
@@ -32,8 +31,6 @@
 
 SERVICES_PREFIX = '/services/'
 UNAVAILABLE = 503
-REQUESTS = 'verbenamux_requests_total'
-FIRST_TOKEN = 'verbenamux_time_to_first_token_seconds'
 DURATION = 'verbenamux_request_seconds'
 
 PASSED_HEADERS = frozenset(('content-type', 'cache-control', 'location'))
@@ -227,8 +224,8 @@
     admitted: Admitted,
 ) -> answers.Answer:
     reserved = admitted.work.need.tokens
-    _spend(gateway, admitted, reserved)
-    failure = _claim(gateway, incoming, admitted)
+    accounts.spend(gateway, admitted, reserved)
+    failure = accounts.claim(gateway, incoming, admitted)
     if failure is not None:
         gateway.gate.settle(admitted.workspace, reserved, 0)
         raise RequestRejectedError(failure)
@@ -237,9 +234,9 @@
     delivery = Delivery(
         admitted.work,
         gateway.tools,
-        _permit(gateway, incoming, admitted),
+        accounts.make_permit(gateway, incoming, admitted),
     )
-    pieces = _settled(gateway, incoming, admitted, delivery)
+    pieces = accounts.settled_pieces(gateway, incoming, admitted, delivery)
     if admitted.work.need.service:
         return _answer_service(delivery, pieces)
     if admitted.stream:
@@ -247,108 +244,6 @@
     return _answer_whole(gateway, admitted, pieces)
 
 
-def _spend(gateway: Gateway, admitted: Admitted, tokens: int) -> None:
-    if not admitted.workspace:
-        return
-    failure = gateway.gate.admit(admitted.workspace, tokens)
-    if failure is not None:
-        raise RequestRejectedError(failure)
-
-
-def _claim(
-    gateway: Gateway,
-    incoming: Incoming,
-    admitted: Admitted,
-) -> RequestFailure | None:
-    idempotency_key = incoming.options.idempotency_key
-    if not idempotency_key:
-        return None
-    return gateway.claims.claim(
-        admitted.workspace,
-        idempotency_key,
-        admitted.work.request_id,
-    )
-
-
-def _permit(
-    gateway: Gateway,
-    incoming: Incoming,
-    admitted: Admitted,
-) -> Any:
-    """Return the check that a running request must keep passing."""
-
-    def permit() -> RequestFailure | None:
-        if not gateway.wait_fresh(admitted.work.deadline):
-            return RequestFailure(
-                ErrorCode.STALE_CONFIGURATION,
-                'this gateway has heard neither the log nor a peer lately',
-            )
-        if not admitted.workspace:
-            return None
-        identified = authenticate(gateway.configuration, incoming.key_hash)
-        if is_successful(identified):
-            return None
-        return identified.failure()
-
-    return permit
-
-
-def _settled(
-    gateway: Gateway,
-    incoming: Incoming,
-    admitted: Admitted,
-    delivery: Delivery,
-) -> Iterator[bytes]:
-    """Yield the answer's pieces, and settle rate and claim at the end."""
-    work = admitted.work
-    arrived = gateway.clock.elapsed()
-    first = True
-    outcome = 'cancelled'
-    try:
-        for piece in delivery.pieces():
-            if first:
-                first = False
-                elapsed = gateway.clock.elapsed() - arrived
-                gateway.metrics.observe(FIRST_TOKEN, elapsed)
-            yield piece
-        outcome = 'whole'
-    except RequestRejectedError as rejected:
-        outcome = rejected.failure.code.value
-        raise
-    finally:
-        _settle(gateway, incoming, admitted, delivery)
-        gateway.metrics.count(REQUESTS, outcome=outcome)
-        gateway.log.write(
-            'outcome',
-            request_id=work.request_id,
-            workspace=work.workspace,
-            outcome=outcome,
-            run=delivery.known_run.value,
-            attempts=delivery.attempts,
-            tokens=delivery.tokens,
-        )
-
-
-def _settle(
-    gateway: Gateway,
-    incoming: Incoming,
-    admitted: Admitted,
-    delivery: Delivery,
-) -> None:
-    reserved = admitted.work.need.tokens
-    not_run = delivery.known_run is Run.NOT_RUN
-    used = 0 if not_run else delivery.tokens or reserved
-    if admitted.workspace:
-        gateway.gate.settle(admitted.workspace, reserved, used)
-    idempotency_key = incoming.options.idempotency_key
-    if idempotency_key and not_run:
-        gateway.claims.release(
-            admitted.workspace,
-            idempotency_key,
-            admitted.work.request_id,
-        )
-
-
 def _answer_whole(
     gateway: Gateway,
     admitted: Admitted,
--- /dev/null
+++ b/libs/gateway/src/verbenamux_gateway/work.py
@@ -0,0 +1,48 @@
+"""A request that was admitted, and what every delivery shares."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import RequestId
+from verbenamux_routing.choose import Chooser
+from verbenamux_routing.retry import RetryBudget
+from verbenamux_routing.score import Need
+
+from verbenamux_gateway.fleet import Fleet
+
+Decide = Callable[..., None]
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request that was admitted, ready for any target.
+
+    The deadline is on this gateway's monotonic clock. An answer that is
+    not resumable is held here until it is whole.
+    """
+
+    request_id: RequestId
+    workspace: str
+    weight: int
+    need: Need
+    path: str
+    method: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+    priority: int
+    deadline: timedelta
+    resumable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """What every delivery shares."""
+
+    fleet: Fleet
+    clock: Clock
+    choose: Chooser
+    budget: RetryBudget
+    decide: Decide
--- a/libs/harness/src/verbenamux_harness/actions.py
+++ b/libs/harness/src/verbenamux_harness/actions.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from verbenamux_harness.fleet import Fleet, host_rows, put_model
+from verbenamux_harness.declaring import host_rows, put_model
+from verbenamux_harness.fleet import Fleet
 from verbenamux_harness.language import Step
 from verbenamux_harness.web import call
 
--- a/libs/harness/src/verbenamux_harness/floor.py
+++ b/libs/harness/src/verbenamux_harness/floor.py
@@ -4,21 +4,21 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
 import zmq.green as zmq
 from gevent import monkey
 from verbenamux_runtime.webserver import serve
 
-BODY = b'{"ok":true}'
-
 
 def answer(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
-    """Read the body and answer something short."""
-    environ['wsgi.input'].read()
-    start('200 OK', [('Content-Length', str(len(BODY)))])
-    return [BODY]
+    """Read the body and send it back, as the service stand-in does."""
+    echo = environ['wsgi.input'].read().decode()
+    body = msgspec.json.encode({'echo': echo})
+    start('200 OK', [('Content-Length', str(len(body)))])
+    return [body]
 
 
-def echo(address: str) -> None:
+def echo_messages(address: str) -> None:
     """Send every message back to where it came from."""
     socket = zmq.Context().socket(zmq.ROUTER)
     socket.bind(f'tcp://{address}')
@@ -33,7 +33,7 @@
     if kind == 'http':
         serve(address, answer).serve_forever()
     else:
-        echo(address)
+        echo_messages(address)
 
 
 if __name__ == '__main__':
--- a/libs/harness/src/verbenamux_harness/mutant.py
+++ b/libs/harness/src/verbenamux_harness/mutant.py
@@ -150,8 +150,8 @@
         _lend_without_debit,
     ),
     'key-checks': _replace(
-        f'{GATEWAY}.server',
-        '_permit',
+        f'{GATEWAY}.accounts',
+        'make_permit',
         _always(_always(None)),
     ),
     'reservations': _replace(
--- a/libs/runtime/src/verbenamux_runtime/program.py
+++ b/libs/runtime/src/verbenamux_runtime/program.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import gevent
 import typer
@@ -58,6 +58,50 @@
     return print_schema
 
 
+def daemon_app(
+    help_text: str,
+    settings_type: type[SettingsType],
+    serve: Callable[[SettingsType], None],
+) -> typer.Typer:
+    """Return the command line that every daemon has.
+
+    It checks the settings file, and serves unless only a check, the schema
+    or the version was asked for.
+    """
+    app = typer.Typer(help=help_text)
+    schema_option = typer.Option(
+        '--schema',
+        callback=schema_printer(settings_type),
+        is_eager=True,
+        help='Print the JSON schema of the settings and exit',
+    )
+
+    @app.command()
+    def run(
+        settings: Annotated[Path, typer.Option(help='JSON settings file')],
+        check_settings: Annotated[
+            bool,
+            typer.Option('--check-settings', help='Check the file and exit'),
+        ] = False,
+        schema: Annotated[bool, schema_option] = False,
+        version: Annotated[
+            bool,
+            typer.Option('--version', callback=print_version, is_eager=True),
+        ] = False,
+    ) -> None:
+        """Run until SIGTERM.
+
+        Example: verbenamux-gateway --settings gateway.json
+        """
+        checked = load_or_exit(settings, settings_type)
+        if check_settings:
+            typer.echo('settings are valid')
+            return
+        serve(checked)
+
+    return app
+
+
 def stop_on_signal() -> Event:
     """Return an event that SIGTERM or SIGINT sets."""
     stop = Event()
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -14,7 +14,8 @@
     Run,
 )
 from verbenamux_contracts.ids import AttemptId, RequestId
-from verbenamux_gateway.delivery import Delivery, Tools, Work
+from verbenamux_gateway.delivery import Delivery
+from verbenamux_gateway.work import Tools, Work
 from verbenamux_routing.breaker import Breaker
 from verbenamux_routing.choose import Choice
 from verbenamux_routing.retry import RetryBudget
