Keep long-lived tasks running, and tell strangers less

Cause: reading the code as a newcomer would. A task such as the follower of the log ended for good, and silently, at its first unforeseen error; an error in one message's handling stopped the socket that took it.

Before: a task that raised was gone.

--- a/libs/agent/src/verbenamux_agent/running.py
+++ b/libs/agent/src/verbenamux_agent/running.py
@@ -5,7 +5,7 @@
 import gevent
 from verbenamux_platform.http import parse_endpoint
 from verbenamux_platform.log import LogClient
-from verbenamux_runtime.program import every, stop_on_signal
+from verbenamux_runtime.program import every, keep_running, stop_on_signal
 
 from verbenamux_agent.agent import Agent
 
@@ -27,8 +27,8 @@
     every(agent.settings.report, agent.watch_target, report_error)
     every(agent.settings.heartbeat, agent.publish, report_error)
     every(HOUSEKEEPING, agent.keep_house, report_error)
-    gevent.spawn(_publish_changes, agent)
-    gevent.spawn(agent.server.run)
+    keep_running(lambda: _publish_changes(agent))
+    keep_running(agent.server.run)
     agent.log.write('started', address=agent.settings.address)
     stop.wait()
     _drain(agent)
--- a/libs/ctl/src/verbenamux_ctl/gateways.py
+++ b/libs/ctl/src/verbenamux_ctl/gateways.py
@@ -29,7 +29,7 @@
     """Return what a gateway says of itself, or None."""
     client = open_client(parse_endpoint(address), HTTP_TIMEOUT)
     try:
-        response = client.get('/readyz')
+        response = client.get('/readyz?verbose')
         body = bytes(response.read())
     except OSError:
         return None
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import gevent
 from returns.pipeline import is_successful
 from verbenamux_admission.rendezvous import pick
 from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
 from verbenamux_platform.http import parse_endpoint
-from verbenamux_runtime.program import every, stop_on_signal
+from verbenamux_runtime.program import every, keep_running, stop_on_signal
 from verbenamux_runtime.webserver import serve
 
 from verbenamux_gateway.answers import encode_broken_request
@@ -37,8 +36,8 @@
     stop = stop_on_signal()
     for peer in gateway.settings.peers:
         gateway.peers.learn(peer.name, peer.address)
-    gevent.spawn(gateway.server.run)
-    gevent.spawn(gateway.follower.run)
+    keep_running(gateway.server.run)
+    keep_running(gateway.follower.run)
     _start_loops(gateway)
     if gateway.settings.rates.policy is RatePolicy.ESCROW:
         _start_share_loops(gateway)
@@ -70,8 +69,8 @@
         settings.snapshot_every,
         lambda: _write_snapshots(gateway),
     )
-    gevent.spawn(gateway.claims.follow)
-    gevent.spawn(gateway.claims.append_batches)
+    keep_running(gateway.claims.follow)
+    keep_running(gateway.claims.append_batches)
     if settings.platform.hosts is not None:
         client = HostListClient(parse_endpoint(settings.platform.hosts))
         _loop(gateway, HOSTS_INTERVAL, lambda: _read_hosts(gateway, client))
@@ -79,7 +78,7 @@
 
 def _start_share_loops(gateway: Gateway) -> None:
     shares = gateway.shares
-    gevent.spawn(shares.follow)
+    keep_running(shares.follow)
     renewal = gateway.settings.rates.lease / RENEWALS_PER_LEASE
     _loop(
         gateway,
--- a/libs/gateway/src/verbenamux_gateway/server.py
+++ b/libs/gateway/src/verbenamux_gateway/server.py
@@ -13,6 +13,7 @@
     Run,
 )
 from verbenamux_contracts.ids import RequestId, new_request_id
+from verbenamux_routing.views import TargetView
 from verbenamux_runtime import metrics
 from verbenamux_runtime.webserver import Application, StartResponse
 
@@ -31,6 +32,7 @@
 
 SERVICES_PREFIX = '/services/'
 UNAVAILABLE = 503
+VERBOSE = 'verbose'
 DURATION = 'verbenamux_request_seconds'
 
 PASSED_HEADERS = frozenset(('content-type', 'cache-control', 'location'))
@@ -43,33 +45,32 @@
         environ: Environ,
         start: StartResponse,
     ) -> Iterable[bytes]:
-        request_id = new_request_id()
-        gateway.in_flight += 1
         arrived = gateway.clock.elapsed()
-        answer = _answer(gateway, environ, request_id)
-        pieces = answers.send(
-            answer,
-            request_id,
-            start,
-            closing=gateway.leaving,
-        )
+        gateway.in_flight += 1
         try:
-            yield from pieces
+            yield from _respond(gateway, environ, start)
         finally:
-            _close(pieces)
             gateway.in_flight -= 1
-            gateway.metrics.observe(
-                DURATION,
-                gateway.clock.elapsed() - arrived,
-            )
+            took = gateway.clock.elapsed() - arrived
+            gateway.metrics.observe(DURATION, took)
 
     return application
 
 
-def _close(pieces: Iterable[bytes]) -> None:
-    close = getattr(pieces, 'close', None)
-    if close is not None:
-        close()
+def _respond(
+    gateway: Gateway,
+    environ: Environ,
+    start: StartResponse,
+) -> Iterator[bytes]:
+    """Start the response and yield its body; closing it stops the work."""
+    request_id = new_request_id()
+    answer = _answer(gateway, environ, request_id)
+    yield from answers.send(
+        answer,
+        request_id,
+        start,
+        closing=gateway.leaving,
+    )
 
 
 def _answer(
@@ -77,7 +78,7 @@
     environ: Environ,
     request_id: RequestId,
 ) -> answers.Answer:
-    probe = _answer_probe(gateway, environ['PATH_INFO'])
+    probe = _answer_probe(gateway, environ)
     if probe is not None:
         return probe
     try:
@@ -98,12 +99,19 @@
         return _refuse(gateway, failure, request_id)
 
 
-def _answer_probe(gateway: Gateway, path: str) -> answers.Answer | None:
+def _answer_probe(
+    gateway: Gateway,
+    environ: Environ,
+) -> answers.Answer | None:
+    path = environ['PATH_INFO']
     if path == '/healthz':
         return answers.json_answer(b'{"status":"ok"}')
     if path == '/readyz':
         status = answers.OK if gateway.ready else UNAVAILABLE
-        return answers.json_answer(_status(gateway), status)
+        told = _status(gateway)
+        if environ.get('QUERY_STRING') == VERBOSE:
+            told |= _details(gateway)
+        return answers.json_answer(msgspec.json.encode(told), status)
     if path == '/metrics':
         _gauge(gateway)
         body = gateway.metrics.render()
@@ -111,25 +119,26 @@
     return None
 
 
-def _status(gateway: Gateway) -> bytes:
+def _status(gateway: Gateway) -> dict[str, Any]:
     configuration = gateway.configuration
-    return msgspec.json.encode(
-        {
-            'ready': gateway.ready,
-            'name': gateway.settings.name,
-            'version': configuration.version,
-            'digest': configuration.digest,
-            'fresh': gateway.is_fresh(),
-            'peers': [peer.name for peer in gateway.peers.alive()],
-            'targets': {
-                name: _target_status(view)
-                for name, view in gateway.fleet.views.by_name.items()
-            },
-        },
-    )
+    return {
+        'ready': gateway.ready,
+        'name': gateway.settings.name,
+        'version': configuration.version,
+        'digest': configuration.digest,
+        'fresh': gateway.is_fresh(),
+    }
+
+
+def _details(gateway: Gateway) -> dict[str, Any]:
+    views = gateway.fleet.views.by_name
+    return {
+        'peers': [peer.name for peer in gateway.peers.alive()],
+        'targets': {name: _target_status(view) for name, view in views.items()},
+    }
 
 
-def _target_status(view: Any) -> dict[str, Any]:
+def _target_status(view: TargetView) -> dict[str, Any]:
     return {
         'alive': view.alive,
         'leaving': view.leaving,
--- a/libs/harness/src/verbenamux_harness/fleet.py
+++ b/libs/harness/src/verbenamux_harness/fleet.py
@@ -96,7 +96,9 @@
 
     def status(self, gateway: str) -> dict[str, Any]:
         """Return what a gateway says of itself."""
-        told: dict[str, Any] = call('GET', f'{self.url(gateway)}/readyz').json()
+        told: dict[str, Any] = call(
+            'GET', f'{self.url(gateway)}/readyz?verbose'
+        ).json()
         return told
 
     def faults(self, name: str, **switches: Any) -> None:
--- a/libs/runtime/src/verbenamux_runtime/logs.py
+++ b/libs/runtime/src/verbenamux_runtime/logs.py
@@ -28,6 +28,12 @@
         logger.opt(raw=True).info('{}\n', _encoder.encode(line).decode())
 
 
+def write_error(where: str, error: Exception) -> None:
+    """Write one line for an error that only its own task saw."""
+    line = {'event': 'task_error', 'where': where, 'cause': repr(error)}
+    logger.opt(raw=True).error('{}\n', _encoder.encode(line).decode())
+
+
 def configure_logs() -> None:
     """Send this process's log lines to standard error."""
     logger.remove()
--- a/libs/runtime/src/verbenamux_runtime/peers.py
+++ b/libs/runtime/src/verbenamux_runtime/peers.py
@@ -16,6 +16,8 @@
     encode_message,
 )
 
+from verbenamux_runtime.logs import write_error
+
 HIGH_WATER_MESSAGES = 100_000
 RECONNECT_LEAST_MS = 50
 RECONNECT_MOST_MS = 500
@@ -82,7 +84,14 @@
             except MessageDecodeError as error:
                 self._on_garbage(error)
                 continue
+            self._handle(identity, message)
+
+    def _handle(self, identity: bytes, message: AnyMessage) -> None:
+        """Pass a message on; an error in it must not stop the others."""
+        try:
             self._handler(identity, message)
+        except Exception as error:
+            write_error(type(message).__name__, error)
 
     def send(self, identity: bytes, message: Message) -> bool:
         """Send to one peer; False when it is gone or its queue is full."""
@@ -171,10 +180,13 @@
     def _deliver(self, message: AnyMessage) -> None:
         ask_id = getattr(message, 'ask_id', '')
         waiting = self._waiting_by_ask.get(ask_id)
-        if waiting is None:
-            self._handler(message)
-        else:
+        if waiting is not None:
             waiting.set(message)
+            return
+        try:
+            self._handler(message)
+        except Exception as error:
+            write_error(type(message).__name__, error)
 
 
 def _limit(socket: Any) -> None:
--- a/libs/runtime/src/verbenamux_runtime/program.py
+++ b/libs/runtime/src/verbenamux_runtime/program.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 from returns.pipeline import is_successful
 
+from verbenamux_runtime.logs import write_error
 from verbenamux_runtime.settings import (
     Settings,
     SettingsFailure,
@@ -20,6 +21,7 @@
 
 EXIT_BAD_SETTINGS = 2
 VERSION = '0.1.0'
+TASK_PAUSE_SECONDS = 0.5
 
 SettingsType = TypeVar('SettingsType', bound=Settings)
 
@@ -119,6 +121,20 @@
     return gevent.spawn(_repeat, interval, step, on_error)
 
 
+def keep_running(task: Callable[[], object]) -> gevent.Greenlet:
+    """Run a task that never ends, and start it again if an error ends it."""
+    return gevent.spawn(_keep_running, task)
+
+
+def _keep_running(task: Callable[[], object]) -> None:
+    while True:
+        try:
+            task()
+        except Exception as error:
+            write_error(repr(task), error)
+        gevent.sleep(TASK_PAUSE_SECONDS)
+
+
 def _repeat(
     interval: timedelta,
     step: Callable[[], None],
