Test services, keys and explanations over the real path; two ledger rules

Cause: several parts of the caller's and operator's surface were only run by hand. Two fixed runs now show both rules needed.

--- a/tests/harness/test_path.py
+++ b/tests/harness/test_path.py
@@ -1,5 +1,6 @@
 """The whole path through separate processes."""
 
+import hashlib
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -7,7 +8,7 @@
 
 from verbenamux_harness.fleet import Fleet, running
 from verbenamux_harness.shapes import nakhla
-from verbenamux_harness.web import call
+from verbenamux_harness.web import call, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -64,10 +65,88 @@
     assert refused.json()['error']['run'] == 'not_run'
 
 
+def test_service_gets_the_call_and_neither_key_nor_cookie(
+    fleet: Fleet,
+) -> None:
+    key = fleet.key_by_workspace['counter']
+    answer = call(
+        'PUT',
+        f'{fleet.url("gateway-0")}/services/hire-ledger/sledges/7?day=friday',
+        b'two sledges',
+        {
+            'Authorization': f'Bearer {key}',
+            'Cookie': 'session=1',
+            'X-Note': 'coach group',
+            'Idempotency-Key': 'friday-7',
+        },
+    )
+    assert answer.status == 200
+    assert answer.json()['echo'] == 'two sledges'
+    ran = [
+        event
+        for event in fleet.history('hire-ledger-0')
+        if event['event'] == 'run' and event['path'] == '/sledges/7'
+    ]
+    assert len(ran) == 1
+    assert ran[0]['query'] == {'day': 'friday'}
+    assert ran[0]['headers']['x-note'] == 'coach group'
+    assert key not in str(ran)
+    assert 'cookie' not in ran[0]['headers']
+
+
+def test_same_idempotency_key_does_not_run_again(fleet: Fleet) -> None:
+    headers = {'Idempotency-Key': 'once-only'}
+    first = fleet.chat('gateway-0', 'counter', 'once', headers)
+    again = fleet.chat('gateway-1', 'counter', 'once', headers)
+    other = fleet.chat('gateway-1', 'coaches', 'once', headers)
+    assert first.status == 200
+    assert again.status == 409
+    assert again.json()['error']['code'] == 'idempotency_key_used'
+    assert other.status == 200
+
+
+def test_metrics_and_explanation_of_a_request(fleet: Fleet) -> None:
+    answer = fleet.chat('gateway-0', 'counter', 'why there?')
+    text = call('GET', f'{fleet.url("gateway-0")}/metrics').body.decode()
+    assert 'verbenamux_requests_total{outcome="whole"}' in text
+    assert 'verbenamux_time_to_first_token_seconds{quantile="0.95"}' in text
+    log = fleet.process_by_name['gateway-0'].log_path
+    told = fleet.ctl('explain', answer.headers['x-request-id'], str(log))
+    assert 'went to engine-' in told
+    assert 'ended as whole after 1 attempts' in told
+
+
+def test_key_is_granted_and_withdrawn_by_the_command_line(
+    fleet: Fleet,
+) -> None:
+    base = str(fleet.version)
+    key = fleet.ctl('keys', 'grant', 'counter', '--base', base).strip()
+    fleet.version += 1
+    fleet.ctl(
+        'wait',
+        str(fleet.version),
+        '--gateway',
+        fleet.address_by_name['gateway-0'],
+    )
+    url = f'{fleet.url("gateway-0")}/v1/models'
+    headers = {'Authorization': f'Bearer {key}'}
+    assert call('GET', url, headers=headers).status == 200
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    fleet.ctl('keys', 'withdraw', digest)
+    wait_until(
+        lambda: call('GET', url, headers=headers).status == 401,
+        'the key to stop working',
+        5,
+    )
+    refused = call('GET', url, headers=headers)
+    assert refused.json()['error']['code'] == 'key_withdrawn'
+
+
 def test_stale_base_is_a_conflict_that_names_the_version(fleet: Fleet) -> None:
     path = fleet.folder / 'stale.json'
     path.write_text('[]')
     refused = fleet.try_ctl('patch', '--base', '0', str(path))
     assert refused.returncode == 3
     assert b'patch_conflict' in refused.stderr
-    assert b'"current_version":1' in refused.stderr
+    current = f'"current_version":{fleet.version}'
+    assert current.encode() in refused.stderr
--- a/tests/placement/test_ledger.py
+++ b/tests/placement/test_ledger.py
@@ -1,7 +1,9 @@
 """The ledger is never overdrawn, whatever orders and reports do."""
 
 from datetime import timedelta
+from typing import Any
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -17,7 +19,7 @@
 
 CAPACITY = 100
 SETTLE = timedelta(seconds=5)
-ORDER_LIFE = timedelta(seconds=4)
+ORDER_LIFE = SETTLE
 SIZES = {'a': 40, 'b': 50, 'c': 30, 'd': 20}
 names = st.sampled_from(sorted(SIZES))
 
@@ -115,6 +117,65 @@
     )
 
 
+class HastyLedger(Ledger):
+    """Frees what a report lacks, though an order's answer was lost."""
+
+    def _miss_dropping(self, row: Row, now: timedelta) -> None:
+        del self.row_by_key[row.key]
+
+
+class BlindLedger(Ledger):
+    """Takes a late report for a fresh one."""
+
+    def _miss(self, row: Row, now: timedelta) -> None:
+        del self.row_by_key[row.key]
+
+
+LATE_LOAD = [
+    ('load', 'a', 'late'),
+    ('order_again',),
+    ('pass_time', 1),
+    ('pass_time', 1),
+    ('report',),
+    ('unload', 'a', 'done'),
+    ('pass_time', 1),
+    ('pass_time', 1),
+    ('report',),
+    ('load', 'b', 'done'),
+    ('load', 'c', 'done'),
+    ('load', 'd', 'done'),
+    ('arrive_late',),
+]
+LATE_REPORT = [
+    ('load', 'a', 'done'),
+    ('report',),
+    ('load', 'b', 'done'),
+    ('load', 'c', 'done'),
+]
+
+
+def play(ledger_type: type[Ledger], run: list[tuple[Any, ...]]) -> None:
+    machine = LedgerMachine()
+    machine.begin()
+    machine.ledger = ledger_type(CAPACITY, SETTLE)
+    for name, *arguments in run:
+        getattr(machine, name)(*arguments)
+        machine.memory_is_never_overcommitted()
+
+
+@pytest.mark.parametrize(
+    ('mutant', 'run'),
+    [(HastyLedger, LATE_LOAD), (BlindLedger, LATE_REPORT)],
+)
+def test_each_rule_is_needed(
+    mutant: type[Ledger],
+    run: list[tuple[Any, ...]],
+) -> None:
+    play(Ledger, run)
+    with pytest.raises(AssertionError):
+        play(mutant, run)
+
+
 def ready(ledger: Ledger, name: str) -> Row:
     row = ledger.reserve(name, 'v1', SIZES[name])
     assert row is not None
