Tell each gateway of cached blocks once, and of every gap

A heartbeat carried the last 64 cached blocks every time (up to 320 bytes of 9 KB/s), and a gap in cache events was told only to gateways whose heartbeat fell into the next tenth of a second; with paced heartbeats most would have missed it and trusted a wrong map. Each gateway now gets what was stored since its last heartbeat, and hears of every gap.

Also gone: unused names, a counter that no gateway read; the fair queue's idle counters are dropped now and then.

--- a/libs/agent/src/verbenamux_agent/agent.py
+++ b/libs/agent/src/verbenamux_agent/agent.py
@@ -8,7 +8,7 @@
 import gevent
 
 from verbenamux_agent.holdings import Holdings
-from verbenamux_agent.prefixes import PrefixFollower
+from verbenamux_agent.prefixes import PrefixFollower, Progress
 from verbenamux_agent.settings import AgentSettings
 from verbenamux_agent.subscribers import SubscriberTable
 from verbenamux_agent.witness import Witness
@@ -52,8 +52,8 @@
         """Whether the target is a model engine."""
         return self.settings.target.kind is TargetKind.ENGINE
 
-    def heartbeat(self, gateway: bytes) -> msg.Heartbeat:
-        """Return the report that one gateway gets now."""
+    def heartbeat(self, told: Progress) -> msg.Heartbeat:
+        """Return the report for a gateway that was told so much before."""
         report = self.holdings.report
         ledger = self.holdings.ledger
         return msg.Heartbeat(
@@ -74,18 +74,21 @@
                 0 if report is None else report.prefill_tokens_per_second
             ),
             decode_ms=self.work.pace.decode_ms,
-            sent=self.subscribers.dispatches_by_gateway[gateway],
-            prefixes=tuple(self.prefixes.recent),
-            prefixes_trusted=self.prefixes.trusted,
+            prefixes=self.prefixes.since(told),
+            prefixes_trusted=self.prefixes.trusts(told),
         )
 
     def publish(self) -> None:
         """Send heartbeats to the gateways for which they are due."""
-        self.subscribers.publish(self.heartbeat)
+        self.subscribers.publish(self.heartbeat, self.prefixes.progress)
 
     def publish_change(self) -> None:
         """Send heartbeats to all gateways that follow this target."""
-        self.subscribers.publish(self.heartbeat, changed=True)
+        self.subscribers.publish(
+            self.heartbeat,
+            self.prefixes.progress,
+            changed=True,
+        )
 
     def watch_target(self) -> None:
         """Read the target's report and take over its pace."""
@@ -102,6 +105,7 @@
         """Drop old answers and stop orphans."""
         self.work.table.forget_old(self.clock.elapsed())
         self.work.cancel_orphans()
+        self.work.forget_idle()
 
     def prepare(self, dispatch: msg.Dispatch) -> msg.Refused | None:
         """Make an attempt's adapter ready, or say why it cannot run."""
@@ -176,7 +180,6 @@
 
 
 def _on_dispatch(agent: Agent, gateway: bytes, message: msg.Dispatch) -> None:
-    agent.subscribers.dispatches_by_gateway[gateway] += 1
     agent.work.dispatch(gateway, message)
 
 
--- a/libs/agent/src/verbenamux_agent/subscribers.py
+++ b/libs/agent/src/verbenamux_agent/subscribers.py
@@ -1,10 +1,10 @@
 """Gateways that follow this target, and the heartbeats they get."""
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
+from verbenamux_agent.prefixes import Progress
 from verbenamux_contracts.clock import Clock, milliseconds
 from verbenamux_contracts.messages import Heartbeat, Hello, Message
 
@@ -23,6 +23,7 @@
     version: int
     period: timedelta
     sent_at: timedelta | None = None
+    told: Progress = Progress()
 
     def is_due(self, now: timedelta) -> bool:
         """Tell whether the next heartbeat is due."""
@@ -39,7 +40,6 @@
 
     def __init__(self, clock: Clock, send: Send) -> None:
         """Start with nobody."""
-        self.dispatches_by_gateway: Counter[bytes] = Counter()
         self._clock = clock
         self._send = send
         self._by_gateway: dict[bytes, Subscriber] = {}
@@ -54,23 +54,28 @@
             hello.version,
             milliseconds(hello.period_ms),
             known.sent_at if known else None,
+            known.told if known else Progress(),
         )
 
     def publish(
         self,
-        heartbeat: Callable[[bytes], Heartbeat],
+        heartbeat: Callable[[Progress], Heartbeat],
+        progress: Progress,
         *,
         changed: bool = False,
     ) -> None:
         """Send heartbeats to all that are due, and to all on a change.
 
+        Each gateway gets the cached blocks that were stored since its last
+        heartbeat.
         Gateways that are silent for too long are dropped.
         """
         now = self._clock.elapsed()
         for gateway, subscriber in list(self._by_gateway.items()):
             if subscriber.is_gone(now):
                 self._by_gateway.pop(gateway, None)
-                self.dispatches_by_gateway.pop(gateway, None)
             elif changed or subscriber.is_due(now):
                 subscriber.sent_at = now
-                self._send(gateway, heartbeat(gateway))
+                report = heartbeat(subscriber.told)
+                subscriber.told = progress
+                self._send(gateway, report)
--- a/libs/agent/src/verbenamux_agent/worklist.py
+++ b/libs/agent/src/verbenamux_agent/worklist.py
@@ -142,6 +142,10 @@
             if now - orphaned_at > ORPHAN_KEPT:
                 self._cancel(attempt.gateway, attempt.dispatch.attempt_id)
 
+    def forget_idle(self) -> None:
+        """Drop the queue's counters of workspaces that are level again."""
+        self._queue.forget_idle()
+
     def estimate_wait(self) -> timedelta:
         """Return how long the queue ahead of a new attempt takes."""
         step = milliseconds(self.pace.decode_ms)
--- a/libs/contracts/src/verbenamux_contracts/errors.py
+++ b/libs/contracts/src/verbenamux_contracts/errors.py
@@ -18,7 +18,6 @@
 
     INVALID_REQUEST = 'invalid_request_error'
     AUTHENTICATION = 'authentication_error'
-    PERMISSION = 'permission_error'
     NOT_FOUND = 'not_found_error'
     CONFLICT = 'conflict_error'
     RATE_LIMIT = 'rate_limit_error'
--- a/libs/contracts/src/verbenamux_contracts/ids.py
+++ b/libs/contracts/src/verbenamux_contracts/ids.py
@@ -6,10 +6,6 @@
 RequestId = NewType('RequestId', str)
 AttemptId = NewType('AttemptId', str)
 InstanceId = NewType('InstanceId', str)
-WorkspaceId = NewType('WorkspaceId', str)
-TargetName = NewType('TargetName', str)
-ModelName = NewType('ModelName', str)
-KeyHash = NewType('KeyHash', str)
 
 ID_BYTES = 9
 
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -43,8 +43,7 @@
 class Heartbeat(Message, frozen=True):
     """An agent's report of its target.
 
-    Durations are milliseconds, memory is MB. `sent` counts the attempts
-    that this agent had taken from the receiving gateway at the time.
+    Durations are milliseconds, memory is MB, rates are tokens a second.
     """
 
     target: str
@@ -59,7 +58,6 @@
     free_mb: int = 0
     prefill_tokens_per_second: int = 0
     decode_ms: int = 0
-    sent: int = 0
     prefixes: tuple[int, ...] = ()
     prefixes_trusted: bool = True
 
--- a/libs/harness/src/verbenamux_harness/microbench.py
+++ b/libs/harness/src/verbenamux_harness/microbench.py
@@ -205,7 +205,6 @@
         free_mb=2000,
         prefill_tokens_per_second=8000,
         decode_ms=20,
-        sent=100,
     )
 
 
--- a/libs/load/src/verbenamux_load/history.py
+++ b/libs/load/src/verbenamux_load/history.py
@@ -1,7 +1,6 @@
 """Histories: JSON lines with every invocation and its completion."""
 
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -73,10 +72,3 @@
         msgspec.json.decode(line, type=HistoryLine)
         for line in path.read_bytes().splitlines()
     ]
-
-
-def read_events(path: Path) -> list[dict[str, Any]]:
-    """Return the events a stand-in wrote."""
-    return [
-        msgspec.json.decode(line) for line in path.read_bytes().splitlines()
-    ]
--- a/libs/load/src/verbenamux_load/prompts.py
+++ b/libs/load/src/verbenamux_load/prompts.py
@@ -1,12 +1,10 @@
 """Prompts whose answers can be checked: each token names its prompt."""
 
 import hashlib
-import re
 from random import Random
 
 DIGEST_LETTERS = 8
 SHARED_WORD = 'waiver'
-TOKEN_PATTERN = re.compile(r'([0-9a-f]{8})-(\d+) ')
 
 
 def make_prompt(call_id: str, shared: int, words: int, random: Random) -> str:
--- a/libs/standin/src/verbenamux_standin/memory.py
+++ b/libs/standin/src/verbenamux_standin/memory.py
@@ -37,7 +37,6 @@
     capacity_mb: int
     history: History
     residents: dict[tuple[str, str], Resident] = field(default_factory=dict)
-    overcommitted: bool = False
 
     @property
     def used_mb(self) -> int:
@@ -49,7 +48,6 @@
         self.residents[row.name, row.version] = row
         self._note('load_began', row)
         if self.used_mb > self.capacity_mb:
-            self.overcommitted = True
             self._note('overcommit', row)
 
     def end(self, row: Resident) -> None:
