--- a/libs/agent/src/verbenamux_agent/subscribers.py
+++ b/libs/agent/src/verbenamux_agent/subscribers.py
@@ -1,7 +1,7 @@
 """Gateways that follow this target, and the heartbeats they get."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from verbenamux_agent.prefixes import Progress
@@ -23,7 +23,7 @@
     version: int
     period: timedelta
     sent_at: timedelta | None = None
-    told: Progress = Progress()
+    told: Progress = field(default_factory=Progress)
 
     def is_due(self, now: timedelta) -> bool:
         """Tell whether the next heartbeat is due."""
