Write the book of shares regularly, so that it outlives its records

Cause: a gateway that started after the shares stream's first records had expired never became ready. Before: records-expired, with the shares stream expired too and a gateway awaited, failed (gateway-2 not ready in 10 s).

--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -34,7 +34,6 @@
 ASK_TIMEOUT = timedelta(seconds=1)
 READ_WAIT = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=500)
-SNAPSHOT_RECORDS = 200
 HOLDERS_PER_WORKSPACE = 4
 
 Decide = Callable[..., None]
@@ -63,9 +62,7 @@
     log_up: bool = False
     unsure: bool = False
     renewed_at: timedelta | None = None
-    appended: set[str] = field(default_factory=set)
     seen_at_by_holder: dict[str, timedelta] = field(default_factory=dict)
-    snapshot_offset: int = 0
 
     @property
     def escrow(self) -> Escrow:
@@ -173,12 +170,9 @@
                 self._reclaim(holder)
 
     def write_snapshot(self) -> None:
-        """Append the book once enough records came since the last."""
-        book = self.escrow.book
-        fresh = book.through_offset - self.snapshot_offset
-        if self.caught_up and fresh >= SNAPSHOT_RECORDS:
-            self.snapshot_offset = book.through_offset
-            self._append(book.snapshot())
+        """Append the book, whether or not it changed: records expire."""
+        if self.caught_up and self.log_up:
+            self._append(self.escrow.book.snapshot())
 
     def _parts(self, workspace: str, units: int) -> dict[str, int]:
         """Return what of a workspace goes to which new holder."""
--- a/libs/harness/src/verbenamux_harness/actions.py
+++ b/libs/harness/src/verbenamux_harness/actions.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -10,7 +11,9 @@
 from verbenamux_harness.declaring import host_rows, put_model
 from verbenamux_harness.fleet import Fleet
 from verbenamux_harness.language import Step
-from verbenamux_harness.web import call
+from verbenamux_harness.web import call, wait_until
+
+AWAIT_SECONDS = 10
 
 Action = Callable[['Stage', Step], None]
 
@@ -158,6 +161,20 @@
         call('POST', f'{url}?through=1000000')
 
 
+def _await(stage: Stage, step: Step) -> None:
+    """Wait until gateways take callers again."""
+    for name in step.words:
+        wait_until(
+            partial(_is_ready, stage, name),
+            f'{name} to be ready',
+            AWAIT_SECONDS,
+        )
+
+
+def _is_ready(stage: Stage, gateway: str) -> bool:
+    return bool(stage.fleet.status(gateway)['ready'])
+
+
 def _replay(stage: Stage, step: Step) -> None:
     """Append a stream's first record again, as a paused writer would."""
     for stream in step.words:
@@ -181,4 +198,5 @@
     'race': _race,
     'expire': _expire,
     'replay': _replay,
+    'await': _await,
 }
