Stop offering what a silent target held

The agent went on offering the models of the last report it had, so the planner never made up for the lost only copy. Ruled out: routing (the breaker was not asked again), room for a copy (there was).

Change: an agent whose engine has not reported for a second says so at once; such a target gets no work and counts for nothing in the plan.

--- a/libs/agent/src/verbenamux_agent/agent.py
+++ b/libs/agent/src/verbenamux_agent/agent.py
@@ -46,12 +46,18 @@
     server: PeerServer
     configuration: Configuration = field(default_factory=Configuration)
     link_by_address: dict[str, PeerLink] = field(default_factory=dict)
+    told_target_up: bool = True
 
     @property
     def is_engine(self) -> bool:
         """Whether the target is a model engine."""
         return self.settings.target.kind is TargetKind.ENGINE
 
+    @property
+    def target_up(self) -> bool:
+        """Whether the target reports; plain services have no report."""
+        return not self.is_engine or self.holdings.target_up
+
     def heartbeat(self, told: Progress) -> msg.Heartbeat:
         """Return the report for a gateway that was told so much before."""
         report = self.holdings.report
@@ -61,6 +67,7 @@
             instance=self.instance,
             version=self.configuration.version,
             leaving=self.work.leaving,
+            target_up=self.target_up,
             resident=tuple(
                 msg.ResidentModel(row.name, row.version)
                 for row in self.holdings.versions_ready()
@@ -79,8 +86,18 @@
         )
 
     def publish(self) -> None:
-        """Send heartbeats to the gateways for which they are due."""
-        self.subscribers.publish(self.heartbeat, self.prefixes.progress)
+        """Send heartbeats that are due.
+
+        All gateways get one when the target begins or ceases to report.
+        """
+        target_up = self.target_up
+        changed = target_up != self.told_target_up
+        self.told_target_up = target_up
+        self.subscribers.publish(
+            self.heartbeat,
+            self.prefixes.progress,
+            changed=changed,
+        )
 
     def publish_change(self) -> None:
         """Send heartbeats to all gateways that follow this target."""
--- a/libs/agent/src/verbenamux_agent/holdings.py
+++ b/libs/agent/src/verbenamux_agent/holdings.py
@@ -23,6 +23,7 @@
 from verbenamux_placement.ledger import Ledger, ReportedRow, Row, RowState
 
 FENCING_STEP = 1_000_000
+TARGET_SILENT = timedelta(seconds=1)
 ORDER_AGAIN = timedelta(seconds=2)
 ADAPTER_CHECK = timedelta(milliseconds=5)
 IDLE_CHECK = timedelta(milliseconds=50)
@@ -84,6 +85,7 @@
         self._settle = settle
         self._adapter_loads_most = adapter_loads_most
         self._started_at = clock.elapsed()
+        self._reported_at = clock.elapsed()
         self._ordered_at: dict[tuple[str, str], timedelta] = {}
         self._used_at: dict[str, timedelta] = {}
         self._asking: set[str] = set()
@@ -94,11 +96,17 @@
         """Whether no order of an earlier instance can still arrive."""
         return self._clock.elapsed() - self._started_at > self._settle
 
+    @property
+    def target_up(self) -> bool:
+        """Whether the target has reported lately."""
+        return self._clock.elapsed() - self._reported_at < TARGET_SILENT
+
     def read_report(self) -> None:
         """Fetch the target's report and settle the ledger by it."""
         answer = self._client.exchange(Call('GET', '/report'))
         if not is_successful(answer):
             return
+        self._reported_at = self._clock.elapsed()
         report = msgspec.json.decode(answer.unwrap(), type=EngineReport)
         self.report = report
         if self.ledger is None:
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -44,12 +44,14 @@
     """An agent's report of its target.
 
     Durations are milliseconds, memory is MB, rates are tokens a second.
+    `target_up` is false while the target itself does not report.
     """
 
     target: str
     instance: InstanceId
     version: int
     leaving: bool = False
+    target_up: bool = True
     resident: tuple[ResidentModel, ...] = ()
     adapters: tuple[str, ...] = ()
     slots: int = 0
--- a/libs/harness/src/verbenamux_harness/mutant.py
+++ b/libs/harness/src/verbenamux_harness/mutant.py
@@ -182,6 +182,11 @@
         'may_reach_model',
         _always(True),
     ),
+    'target-silence': _replace(
+        f'{AGENT}.holdings',
+        'Holdings.target_up',
+        property(_always(True)),
+    ),
     'key-strip': _pass_keys_on,
     'leaving-marks': _replace(
         f'{GATEWAY}.fleet',
--- a/libs/routing/src/verbenamux_routing/views.py
+++ b/libs/routing/src/verbenamux_routing/views.py
@@ -40,6 +40,7 @@
     instance: str = ''
     leaving_instance: str | None = None
     alive: bool = False
+    target_up: bool = True
     heard_at: timedelta | None = None
     free_mb: int = 0
     version_by_model: dict[str, str] = field(default_factory=dict)
@@ -52,7 +53,7 @@
     @property
     def usable(self) -> bool:
         """Whether new work may go there at all."""
-        return self.alive and not self.leaving
+        return self.alive and self.target_up and not self.leaving
 
     @property
     def leaving(self) -> bool:
@@ -172,6 +173,7 @@
     if heartbeat.leaving:
         view.leaving_instance = heartbeat.instance
     view.alive = True
+    view.target_up = heartbeat.target_up
     view.heard_at = now
     view.free_mb = heartbeat.free_mb
     view.adapters = frozenset(heartbeat.adapters)
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -60,7 +60,8 @@
 def test_every_policy_leaves_out_unusable_targets(
     policy: RoutingPolicy,
 ) -> None:
-    table = table_of('left', 'open', 'silent', 'other', 'good')
+    table = table_of('left', 'open', 'silent', 'down', 'other', 'good')
+    table.learn(heartbeat('down', target_up=False), NOW)
     table.learn(heartbeat('left', leaving=True), NOW)
     table.by_name['open'].breaker = Breaker(BreakerState.OPEN, opened_at=NOW)
     table.by_name['silent'].alive = False
