Take lease witnesses from the data centres that a gateway follows

They are now picked among the targets that a gateway follows. Ruled out: the own data centre alone (its loss would keep its units from being reclaimed). Not measured with regions cut.

--- a/libs/gateway/src/verbenamux_gateway/gateway.py
+++ b/libs/gateway/src/verbenamux_gateway/gateway.py
@@ -117,7 +117,8 @@
             return False
         return self.clock.elapsed() - moment < self.settings.stale_after
 
-    def _targets_to_follow(self) -> Iterator[Target]:
+    def followed_targets(self) -> Iterator[Target]:
+        """Yield the targets in the data centres that are followed."""
         wanted = self.settings.follow
         for target in self.configuration.targets_by_name.values():
             if not wanted or target.data_centre in wanted:
@@ -140,7 +141,7 @@
         before = self.applied
         self.applied = configuration
         if configuration.targets_by_name is not before.targets_by_name:
-            self.fleet.follow(self._targets_to_follow())
+            self.fleet.follow(self.followed_targets())
         if concerns_agents(before, configuration):
             self.agents_version = configuration.version
             self.fleet.greet(self.agent_hello())
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -103,8 +103,8 @@
 
 
 def _witness_addresses(gateway: Gateway) -> list[str]:
-    targets = gateway.configuration.targets_by_name.values()
-    return sorted({target.agent for target in targets})
+    # Only from data centres followed: a region cut off keeps its leases.
+    return sorted({target.agent for target in gateway.followed_targets()})
 
 
 def _write_snapshots(gateway: Gateway) -> None:
