Let only a gateway that knows the book be the one to write it

Ruled out: the writing interval (a second there). Gateways without a holder name are no longer counted.

--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -108,7 +108,13 @@
 
 
 def _write_snapshots(gateway: Gateway) -> None:
-    names = [peer.name for peer in gateway.peers.alive()]
+    # A gateway without a holder name does not know the book yet: were it
+    # counted, it could wait for the very snapshot that it is to write.
+    names = [
+        peer.name
+        for peer in gateway.peers.alive()
+        if peer.hello is not None and peer.hello.holder
+    ]
     own_name = gateway.settings.name
     if pick('snapshots', [*names, own_name], 1) == [own_name]:
         gateway.follower.write_snapshot()
