Find the living gateways once a round, and name two numbers once

Spreading units looked up every living gateway anew for each workspace, each second: 2,000 workspaces times 390 gateways at the size to come. The size of a prompt block stood in the gateway and in routing, the renewals of a lease in two modules of the gateway. Behaviour stays. Not measured.

--- a/libs/gateway/src/verbenamux_gateway/completions.py
+++ b/libs/gateway/src/verbenamux_gateway/completions.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-BLOCK_WORDS = 32
+from verbenamux_routing.score import BLOCK_WORDS
+
 HASH_BYTES = 4
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 16
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -10,6 +10,7 @@
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.server import make_application
 from verbenamux_gateway.settings import RatePolicy
+from verbenamux_gateway.shares import RENEWALS_PER_LEASE
 from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
 from verbenamux_platform.http import parse_endpoint
 from verbenamux_runtime.program import every, keep_running, stop_on_signal
@@ -22,7 +23,6 @@
 SPREAD_INTERVAL = timedelta(seconds=1)
 MOVE_INTERVAL = timedelta(seconds=5)
 RECLAIM_INTERVAL = timedelta(seconds=1)
-RENEWALS_PER_LEASE = 4
 DRAIN_STEP = timedelta(milliseconds=50)
 DRAIN_MOST = timedelta(minutes=10)
 GATEWAY_ROLE = 'gateway'
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -30,7 +30,7 @@
 
 SHARES_STREAM = 'shares'
 WITNESSES = 5
-RENEW_PARTS = 4
+RENEWALS_PER_LEASE = 4
 ASK_TIMEOUT = timedelta(seconds=1)
 READ_WAIT = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=500)
@@ -108,12 +108,12 @@
         """Claim workspaces that nobody holds, once the book is known."""
         if not self.caught_up or not self._is_registered():
             return
-        names = [*self.peers.by_name, self.name]
+        names = self._alive_names()
         unclaimed = [
             workspace
             for workspace in workspaces
             if not self.escrow.book.is_claimed(workspace)
-            and pick(workspace, self._alive_names(names), 1) == [self.name]
+            and pick(workspace, names, 1) == [self.name]
         ]
         if unclaimed:
             self._append(
@@ -134,12 +134,14 @@
         A few holders for each workspace: the loss of one then costs a part
         of the rate, not all of it, until its units are reclaimed.
         """
+        names = self._alive_names()
         wanted: dict[str, dict[str, int]] = {}
         for workspace, units in self._held_units().items():
-            for holder, part in self._parts(workspace, units).items():
+            parts = self._parts(workspace, units, names)
+            for holder, part in parts.items():
                 wanted.setdefault(holder, {})[workspace] = part
-        for receiver, parts in wanted.items():
-            self._grant(receiver, parts)
+        for receiver, units_by_workspace in wanted.items():
+            self._grant(receiver, units_by_workspace)
 
     def give_all_away(self) -> None:
         """Grant all units to a living peer, before leaving."""
@@ -174,9 +176,13 @@
         if self.caught_up and self.log_up:
             self._append(self.escrow.book.snapshot())
 
-    def _parts(self, workspace: str, units: int) -> dict[str, int]:
+    def _parts(
+        self,
+        workspace: str,
+        units: int,
+        names: list[str],
+    ) -> dict[str, int]:
         """Return what of a workspace goes to which new holder."""
-        names = self._alive_names([*self.peers.by_name, self.name])
         chosen = pick(workspace, names, HOLDERS_PER_WORKSPACE)
         part = records.WHOLE // len(chosen)
         empty = [
@@ -254,7 +260,7 @@
         if renewed_at is None or self.unsure:
             return False
         age = self.clock.elapsed() - renewed_at
-        return age < self.lease_time / RENEW_PARTS
+        return age < self.lease_time / RENEWALS_PER_LEASE
 
     def _ask_witnesses(self, holder: str, lease: HolderLease) -> None:
         asks = [
@@ -286,8 +292,7 @@
             )
 
     def _reclaim(self, dead: str) -> None:
-        names = self._alive_names([*self.peers.by_name, self.name])
-        if pick(dead, names, 1) != [self.name]:
+        if pick(dead, self._alive_names(), 1) != [self.name]:
             return
         witnesses = self.escrow.book.witnesses_by_holder.get(dead, ())
         consents = []
@@ -311,12 +316,8 @@
     def _ask(self, witness: str, ask_id: str, ask: Message) -> Message | None:
         return self.fleet.link_to(witness).ask(ask_id, ask, ASK_TIMEOUT)
 
-    def _alive_names(self, names: list[str]) -> list[str]:
-        return [
-            name
-            for name in names
-            if name == self.name or self.peers.is_alive(name)
-        ]
+    def _alive_names(self) -> list[str]:
+        return [*(peer.name for peer in self.peers.alive()), self.name]
 
     def _append(self, record: records.ShareRecord) -> bool:
         """Append a record and wait until the book has passed it.
