--- a/libs/gateway/src/verbenamux_gateway/fleet.py
+++ b/libs/gateway/src/verbenamux_gateway/fleet.py
@@ -68,6 +68,10 @@
             self._link_by_address[address] = link
         return link
 
+    def links(self) -> list[PeerLink]:
+        """Return the links to all agents."""
+        return list(self._link_by_address.values())
+
     def greet(self, hello: Hello) -> None:
         """Say hello to every agent; each then sends heartbeats."""
         for link in self._link_by_address.values():
--- a/libs/gateway/src/verbenamux_gateway/gateway.py
+++ b/libs/gateway/src/verbenamux_gateway/gateway.py
@@ -16,7 +16,7 @@
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_runtime.logs import DecisionLog
 from verbenamux_runtime.metrics import Metrics
-from verbenamux_runtime.peers import PeerLink, PeerServer
+from verbenamux_runtime.peers import PeerLink, PeerServer, Traffic
 
 from verbenamux_gateway.claims import ClaimKeeper
 from verbenamux_gateway.delivery import Tools
@@ -116,6 +116,14 @@
         self.fleet.follow(configuration.targets_by_name.values())
         self.greet()
 
+    def traffic(self) -> Traffic:
+        """Return what passed all links and the own socket so far."""
+        total = Traffic()
+        links = [*self.fleet.links(), *self.peers.links()]
+        for traffic in (self.server.traffic, *(each.traffic for each in links)):
+            total.add(traffic)
+        return total
+
     def limits_of(self, workspace: str) -> Limits | None:
         """Return a workspace's rate and burst."""
         declared = self.configuration.workspaces_by_name.get(workspace)
--- a/libs/gateway/src/verbenamux_gateway/peering.py
+++ b/libs/gateway/src/verbenamux_gateway/peering.py
@@ -69,6 +69,10 @@
             return False
         return self.clock.elapsed() - peer.heard_at < PEER_ALIVE
 
+    def links(self) -> list[PeerLink]:
+        """Return the links to all other gateways."""
+        return [peer.link for peer in self.by_name.values()]
+
     def alive(self) -> list[PeerView]:
         """Return the gateways that were heard lately."""
         return [
--- a/libs/gateway/src/verbenamux_gateway/server.py
+++ b/libs/gateway/src/verbenamux_gateway/server.py
@@ -147,6 +147,11 @@
         gateway.configuration.version,
     )
     gateway.metrics.gauge('verbenamux_in_flight', gateway.in_flight)
+    traffic = gateway.traffic()
+    gateway.metrics.gauge(
+        'verbenamux_peer_received_bytes', traffic.received_bytes
+    )
+    gateway.metrics.gauge('verbenamux_peer_sent_bytes', traffic.sent_bytes)
     gateway.metrics.gauge('verbenamux_fresh', int(gateway.is_fresh()))
     gateway.metrics.gauge(
         'verbenamux_targets_usable',
--- a/libs/harness/src/verbenamux_harness/cli.py
+++ b/libs/harness/src/verbenamux_harness/cli.py
@@ -1,5 +1,6 @@
 """The command line of the harness."""
 
+import itertools
 import signal
 import tempfile
 import time
@@ -9,10 +10,11 @@
 import msgspec
 import typer
 
-from verbenamux_harness import experiment
+from verbenamux_harness import experiment, fleetbench, microbench, soak
 from verbenamux_harness.demo import run_demo
 from verbenamux_harness.fleet import running
-from verbenamux_harness.proving import choose, markdown, prove
+from verbenamux_harness.proving import choose, describe, markdown, prove
+from verbenamux_harness.runner import run_scenario
 from verbenamux_harness.shapes import SHAPE_BY_NAME
 
 app = typer.Typer(
@@ -81,6 +83,24 @@
         raise typer.Exit(1)
 
 
+@app.command('soak')
+def soak_command(seed: int = 1, count: int = 1) -> None:
+    """Run fleets with faults drawn from a seed, and the seeds after it."""
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-soak-'))
+    broken = False
+    for each in range(seed, seed + count):
+        scenario = soak.draw_scenario(each)
+        for line in soak.describe_steps(scenario):
+            typer.echo(line)
+        verdict = run_scenario(scenario, folder / f'{each}')
+        typer.echo(f'seed {each}: {dict(verdict.outcomes)}')
+        for line in describe(verdict):
+            typer.echo(line)
+        broken = broken or not verdict.kept
+    if broken:
+        raise typer.Exit(1)
+
+
 @app.command('experiment')
 def experiment_command(
     cases: Path = CASES,
@@ -109,6 +129,26 @@
         typer.echo(line)
 
 
+@app.command('bench')
+def bench_command(
+    output: Path = Path('build/bench'),
+    processes: bool = True,
+) -> None:
+    """Measure the slopes behind docs/CAPACITY.md, as JSON and a table."""
+    folder = Path(tempfile.mkdtemp(prefix='verbenamux-bench-'))
+    output.mkdir(parents=True, exist_ok=True)
+    slopes = []
+    measured = [microbench.all_slopes()]
+    if processes:
+        measured.append(fleetbench.all_process_slopes(folder))
+    typer.echo('| what | figure | unit |')
+    typer.echo('| --- | --- | --- |')
+    for slope in itertools.chain.from_iterable(measured):
+        slopes.append(slope)
+        typer.echo(f'| {slope.name} | {slope.figure:.4g} | {slope.unit} |')
+    (output / 'slopes.json').write_bytes(microbench.encode_slopes(slopes))
+
+
 def main() -> None:
     """Run the console script."""
     app()
--- a/libs/harness/src/verbenamux_harness/runner.py
+++ b/libs/harness/src/verbenamux_harness/runner.py
@@ -67,6 +67,7 @@
     mutant: MutantClause | None = None,
 ) -> Verdict:
     """Run a scenario once, with or without one of its mechanisms."""
+    folder.mkdir(parents=True, exist_ok=True)
     shape = shape_of(scenario)
     mutants = mutants_of(shape, folder, mutant)
     with running(shape, folder, mutants) as fleet:
--- a/libs/placement/src/verbenamux_placement/planner.py
+++ b/libs/placement/src/verbenamux_placement/planner.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -120,13 +120,17 @@
     adapter_room_mb: int
     taken_mb: Counter[str] = field(default_factory=Counter)
     dropped: set[str] = field(default_factory=set)
+    holders_by_model: defaultdict[str, list[HostState]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
+
+    def __post_init__(self) -> None:
+        for host in self.hosts_by_name.values():
+            for model in host.version_by_model:
+                self.holders_by_model[model].append(host)
 
     def holders(self, model: str) -> list[HostState]:
-        return [
-            host
-            for host in self.hosts_by_name.values()
-            if model in host.version_by_model
-        ]
+        return self.holders_by_model[model]
 
     def room(self, host: HostState) -> int:
         return host.free_mb - self.taken_mb[host.name]
--- a/libs/routing/src/verbenamux_routing/views.py
+++ b/libs/routing/src/verbenamux_routing/views.py
@@ -101,7 +101,7 @@
                 view = TargetView(target, new_breaker())
             view.target = target
             self.by_name[target.name] = view
-        self.reindex()
+        self._reindex()
 
     def learn(self, heartbeat: Heartbeat, now: timedelta) -> None:
         """Take in an agent's report; unknown targets are ignored."""
@@ -109,11 +109,9 @@
         if view is None:
             return
         models = {row.name: row.version for row in heartbeat.resident}
-        changed = models != view.version_by_model
         _update(view, heartbeat, now)
+        self._move(heartbeat.target, view.version_by_model, models)
         view.version_by_model = models
-        if changed:
-            self.reindex()
 
     def serving_model(self, model: str) -> list[str]:
         """Return the names of targets that hold a model ready."""
@@ -123,8 +121,20 @@
         """Return the names of targets of a plain service."""
         return self._names_by_service.get(service, [])
 
-    def reindex(self) -> None:
-        """Build the indexes anew; called when residents change."""
+    def _move(
+        self,
+        name: str,
+        before: dict[str, str],
+        after: dict[str, str],
+    ) -> None:
+        """Bring the index in line with one target's residents."""
+        for gone in before.keys() - after.keys():
+            self._names_by_model[gone].remove(name)
+        for fresh in after.keys() - before.keys():
+            self._names_by_model.setdefault(fresh, []).append(name)
+
+    def _reindex(self) -> None:
+        """Build the indexes anew, when the targets themselves change."""
         self._names_by_model = {}
         self._names_by_service = {}
         for name, view in self.by_name.items():
--- a/libs/runtime/src/verbenamux_runtime/peers.py
+++ b/libs/runtime/src/verbenamux_runtime/peers.py
@@ -39,6 +39,13 @@
     sent_bytes: int = 0
     sent_messages: int = 0
 
+    def add(self, other: 'Traffic') -> None:
+        """Add another socket's traffic."""
+        self.received_bytes += other.received_bytes
+        self.received_messages += other.received_messages
+        self.sent_bytes += other.sent_bytes
+        self.sent_messages += other.sent_messages
+
 
 def _ignore_garbage(error: MessageDecodeError) -> None:
     """Drop a frame that is no message of ours."""
