--- a/libs/admission/src/verbenamux_admission/book.py
+++ b/libs/admission/src/verbenamux_admission/book.py
@@ -8,6 +8,7 @@
 import msgspec
 
 WHOLE = 1_000_000
+NAME_SEPARATOR = '/'
 
 
 class ShareRecord(
@@ -174,6 +175,13 @@
 
 
 def _start_holder(book: ShareBook, record: HolderStart) -> None:
+    """Enter a holder; earlier names of its gateway go if they hold nothing."""
+    gateway = record.holder.partition(NAME_SEPARATOR)[0]
+    holding = book.known_holders()
+    for holder in list(book.witnesses_by_holder):
+        same_gateway = holder.partition(NAME_SEPARATOR)[0] == gateway
+        if same_gateway and holder not in holding:
+            del book.witnesses_by_holder[holder]
     book.witnesses_by_holder.setdefault(record.holder, record.witnesses)
 
 
--- a/libs/admission/src/verbenamux_admission/escrow.py
+++ b/libs/admission/src/verbenamux_admission/escrow.py
@@ -4,10 +4,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from verbenamux_contracts.clock import Clock
-
 from verbenamux_admission.book import WHOLE, BookSnapshot, ShareBook
 from verbenamux_admission.lease import HolderLease
+from verbenamux_contracts.clock import Clock
 
 LOAN_LIFETIME = timedelta(seconds=2)
 LOAN_MARGIN = timedelta(milliseconds=200)
--- a/libs/agent/src/verbenamux_agent/agent.py
+++ b/libs/agent/src/verbenamux_agent/agent.py
@@ -6,6 +6,13 @@
 from typing import Any
 
 import gevent
+
+from verbenamux_agent.holdings import Holdings
+from verbenamux_agent.prefixes import PrefixFollower
+from verbenamux_agent.settings import AgentSettings
+from verbenamux_agent.subscribers import SubscriberTable
+from verbenamux_agent.witness import Witness
+from verbenamux_agent.worklist import WorkList
 from verbenamux_config.entities import TargetKind
 from verbenamux_config.state import (
     Configuration,
@@ -20,13 +27,6 @@
 from verbenamux_runtime.logs import DecisionLog
 from verbenamux_runtime.peers import PeerLink, PeerServer
 
-from verbenamux_agent.holdings import Holdings
-from verbenamux_agent.prefixes import PrefixFollower
-from verbenamux_agent.settings import AgentSettings
-from verbenamux_agent.subscribers import SubscriberTable
-from verbenamux_agent.witness import Witness
-from verbenamux_agent.worklist import WorkList
-
 KEEP_TIMEOUT = timedelta(seconds=1)
 
 
--- a/libs/agent/src/verbenamux_agent/build.py
+++ b/libs/agent/src/verbenamux_agent/build.py
@@ -2,12 +2,6 @@
 
 from collections.abc import Callable
 
-from verbenamux_contracts.clock import SystemClock
-from verbenamux_contracts.ids import new_instance_id
-from verbenamux_contracts.messages import AnyMessage, Dispatch, Message, Refused
-from verbenamux_runtime.logs import DecisionLog
-from verbenamux_runtime.peers import PeerServer
-
 from verbenamux_agent.agent import Agent
 from verbenamux_agent.attempts import AttemptTable
 from verbenamux_agent.execution import Executor
@@ -18,6 +12,11 @@
 from verbenamux_agent.target import TargetClient
 from verbenamux_agent.witness import Witness
 from verbenamux_agent.worklist import Pace, WorkList
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.ids import new_instance_id
+from verbenamux_contracts.messages import AnyMessage, Dispatch, Message, Refused
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.peers import PeerServer
 
 SPARE_CONNECTIONS = 8
 
--- a/libs/agent/src/verbenamux_agent/cli.py
+++ b/libs/agent/src/verbenamux_agent/cli.py
@@ -1,11 +1,10 @@
 """The command line of the agent."""
 
-from verbenamux_runtime.logs import configure_logs
-from verbenamux_runtime.program import daemon_app
-
 from verbenamux_agent.build import build_agent
 from verbenamux_agent.running import run_agent
 from verbenamux_agent.settings import AgentSettings
+from verbenamux_runtime.logs import configure_logs
+from verbenamux_runtime.program import daemon_app
 
 
 def serve(settings: AgentSettings) -> None:
--- a/libs/agent/src/verbenamux_agent/execution.py
+++ b/libs/agent/src/verbenamux_agent/execution.py
@@ -7,16 +7,6 @@
 
 import msgspec
 from returns.pipeline import is_successful
-from verbenamux_config.entities import TargetKind
-from verbenamux_contracts.clock import Clock
-from verbenamux_contracts.errors import ErrorCode, Run
-from verbenamux_contracts.messages import (
-    Broken,
-    Chunk,
-    End,
-    Message,
-    Started,
-)
 
 from verbenamux_agent.attempts import Attempt
 from verbenamux_agent.target import (
@@ -31,6 +21,16 @@
     read_pieces,
     response_headers,
 )
+from verbenamux_config.entities import TargetKind
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.errors import ErrorCode, Run
+from verbenamux_contracts.messages import (
+    Broken,
+    Chunk,
+    End,
+    Message,
+    Started,
+)
 
 DONE = b'[DONE]'
 RESUME_PAUSE = timedelta(milliseconds=100)
--- a/libs/agent/src/verbenamux_agent/holdings.py
+++ b/libs/agent/src/verbenamux_agent/holdings.py
@@ -9,9 +9,6 @@
 import msgspec
 from gevent.event import Event
 from returns.pipeline import is_successful
-from verbenamux_config.state import Configuration
-from verbenamux_contracts.clock import Clock
-from verbenamux_placement.ledger import Ledger, ReportedRow, Row, RowState
 
 from verbenamux_agent.target import (
     CONFLICT,
@@ -21,6 +18,9 @@
     ReportedResident,
     TargetClient,
 )
+from verbenamux_config.state import Configuration
+from verbenamux_contracts.clock import Clock
+from verbenamux_placement.ledger import Ledger, ReportedRow, Row, RowState
 
 FENCING_STEP = 1_000_000
 ORDER_AGAIN = timedelta(seconds=2)
--- a/libs/agent/src/verbenamux_agent/running.py
+++ b/libs/agent/src/verbenamux_agent/running.py
@@ -3,12 +3,12 @@
 from datetime import timedelta
 
 import gevent
+
+from verbenamux_agent.agent import Agent
 from verbenamux_platform.http import parse_endpoint
 from verbenamux_platform.log import LogClient
 from verbenamux_runtime.program import every, keep_running, stop_on_signal
 
-from verbenamux_agent.agent import Agent
-
 HOUSEKEEPING = timedelta(seconds=1)
 DRAIN_STEP = timedelta(milliseconds=50)
 DRAIN_MOST = timedelta(minutes=10)
--- a/libs/agent/src/verbenamux_agent/target.py
+++ b/libs/agent/src/verbenamux_agent/target.py
@@ -14,6 +14,7 @@
     HTTPSocketPoolResponse,
 )
 from returns.result import Failure, Result, Success
+
 from verbenamux_contracts.errors import Run
 
 OK = 200
--- a/libs/agent/src/verbenamux_agent/witness.py
+++ b/libs/agent/src/verbenamux_agent/witness.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from returns.pipeline import is_successful
+
 from verbenamux_admission.book import WitnessStart, encode_share_record
 from verbenamux_admission.lease import WitnessDesk
 from verbenamux_contracts.clock import Clock
--- a/libs/agent/src/verbenamux_agent/worklist.py
+++ b/libs/agent/src/verbenamux_agent/worklist.py
@@ -6,7 +6,10 @@
 
 import gevent
 import msgspec
+
 from verbenamux_admission.fairqueue import FairQueue
+from verbenamux_agent.attempts import Attempt, AttemptState, AttemptTable
+from verbenamux_agent.execution import Executor
 from verbenamux_contracts.clock import Clock, milliseconds, to_milliseconds
 from verbenamux_contracts.errors import ErrorCode, Run
 from verbenamux_contracts.ids import AttemptId, RequestId
@@ -22,9 +25,6 @@
     Resume,
 )
 
-from verbenamux_agent.attempts import Attempt, AttemptState, AttemptTable
-from verbenamux_agent.execution import Executor
-
 ORPHAN_KEPT = timedelta(seconds=10)
 
 Send = Callable[[bytes, Message], bool]
--- a/libs/config/src/verbenamux_config/access.py
+++ b/libs/config/src/verbenamux_config/access.py
@@ -3,10 +3,10 @@
 import hashlib
 
 from returns.result import Failure, Result, Success
-from verbenamux_contracts.errors import ErrorCode, RequestFailure
 
 from verbenamux_config.entities import PublicRoute, Workspace
 from verbenamux_config.state import Configuration
+from verbenamux_contracts.errors import ErrorCode, RequestFailure
 
 
 def hash_key(key: str) -> str:
--- a/libs/ctl/src/verbenamux_ctl/cli.py
+++ b/libs/ctl/src/verbenamux_ctl/cli.py
@@ -8,6 +8,7 @@
 import msgspec
 import typer
 from returns.pipeline import is_successful
+
 from verbenamux_config.access import hash_key
 from verbenamux_config.entities import Key
 from verbenamux_config.fold import encode_record
@@ -18,6 +19,8 @@
 )
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import SystemClock
+from verbenamux_ctl import explaining, gateways, patching
+from verbenamux_ctl.failures import CommandError, CommandFailure, exit_with
 from verbenamux_platform.configuration_log import (
     CONFIGURATION_STREAM,
     read_configuration,
@@ -26,9 +29,6 @@
 from verbenamux_platform.log import LogClient
 from verbenamux_runtime.program import print_version
 
-from verbenamux_ctl import explaining, gateways, patching
-from verbenamux_ctl.failures import CommandError, CommandFailure, exit_with
-
 KEY_BYTES = 24
 IN_FORCE_SECONDS = 10.0
 
--- a/libs/ctl/src/verbenamux_ctl/gateways.py
+++ b/libs/ctl/src/verbenamux_ctl/gateways.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 from gevent.event import Event
+
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import new_instance_id
 from verbenamux_contracts.messages import (
--- a/libs/ctl/src/verbenamux_ctl/patching.py
+++ b/libs/ctl/src/verbenamux_ctl/patching.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.fold import (
     FoldResult,
     PatchRejected,
@@ -17,14 +18,13 @@
 from verbenamux_config.operations import AnyOperation, Patch
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import Clock
+from verbenamux_ctl.failures import CommandError, CommandFailure
 from verbenamux_platform.configuration_log import (
     CONFIGURATION_STREAM,
     newest_snapshot,
 )
 from verbenamux_platform.log import LogClient
 
-from verbenamux_ctl.failures import CommandError, CommandFailure
-
 SETTLE_MOST = timedelta(seconds=30)
 TRY_AGAIN = timedelta(milliseconds=300)
 PATCH_ID_BYTES = 8
--- a/libs/gateway/src/verbenamux_gateway/accounts.py
+++ b/libs/gateway/src/verbenamux_gateway/accounts.py
@@ -1,9 +1,11 @@
 """What a request spends and claims, and how both are settled."""
 
 from collections.abc import Callable, Iterator
+from contextlib import closing
 from datetime import timedelta
 
 from returns.pipeline import is_successful
+
 from verbenamux_config.access import authenticate
 from verbenamux_contracts.errors import (
     ErrorCode,
@@ -11,7 +13,6 @@
     RequestRejectedError,
     Run,
 )
-
 from verbenamux_gateway.admission import Admitted
 from verbenamux_gateway.border import Incoming
 from verbenamux_gateway.delivery import Delivery
@@ -98,12 +99,13 @@
     first = True
     outcome = 'cancelled'
     try:
-        for piece in delivery.pieces():
-            if first:
-                first = False
-                elapsed = gateway.clock.elapsed() - arrived
-                gateway.metrics.observe(FIRST_TOKEN, elapsed)
-            yield piece
+        with closing(delivery.pieces()) as pieces:
+            for piece in pieces:
+                if first:
+                    first = False
+                    elapsed = gateway.clock.elapsed() - arrived
+                    gateway.metrics.observe(FIRST_TOKEN, elapsed)
+                yield piece
         outcome = 'whole'
     except RequestRejectedError as rejected:
         outcome = rejected.failure.code.value
--- a/libs/gateway/src/verbenamux_gateway/admission.py
+++ b/libs/gateway/src/verbenamux_gateway/admission.py
@@ -5,6 +5,7 @@
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.access import (
     authenticate,
     is_public,
@@ -13,8 +14,6 @@
 from verbenamux_config.entities import Service, Workspace
 from verbenamux_contracts.errors import ErrorCode, RequestFailure
 from verbenamux_contracts.ids import RequestId
-from verbenamux_routing.score import Need
-
 from verbenamux_gateway.border import Incoming, decode_json
 from verbenamux_gateway.completions import (
     ChatBody,
@@ -26,6 +25,7 @@
 )
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.work import Work
+from verbenamux_routing.score import Need
 
 CHAT_PATH = '/v1/chat/completions'
 TEXT_PATH = '/v1/completions'
--- a/libs/gateway/src/verbenamux_gateway/answers.py
+++ b/libs/gateway/src/verbenamux_gateway/answers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+
 from verbenamux_contracts.errors import (
     RETRY_STATUSES,
     ErrorCode,
--- a/libs/gateway/src/verbenamux_gateway/border.py
+++ b/libs/gateway/src/verbenamux_gateway/border.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.access import hash_key
 from verbenamux_contracts.errors import ErrorCode, RequestFailure
 
--- a/libs/gateway/src/verbenamux_gateway/build.py
+++ b/libs/gateway/src/verbenamux_gateway/build.py
@@ -8,15 +8,6 @@
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import AnyMessage, ConfigurationAsk
-from verbenamux_platform.http import Endpoint, parse_endpoint
-from verbenamux_platform.log import LogClient
-from verbenamux_routing.breaker import BREAKER_BY_POLICY
-from verbenamux_routing.choose import make_chooser
-from verbenamux_routing.retry import RetryBudget
-from verbenamux_runtime.logs import DecisionLog
-from verbenamux_runtime.metrics import Metrics
-from verbenamux_runtime.peers import PeerLink, PeerServer
-
 from verbenamux_gateway.claims import ClaimKeeper
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.following import Follower
@@ -27,6 +18,14 @@
 from verbenamux_gateway.settings import GatewaySettings, RatePolicy
 from verbenamux_gateway.shares import ShareKeeper
 from verbenamux_gateway.work import Tools
+from verbenamux_platform.http import Endpoint, parse_endpoint
+from verbenamux_platform.log import LogClient
+from verbenamux_routing.breaker import BREAKER_BY_POLICY
+from verbenamux_routing.choose import make_chooser
+from verbenamux_routing.retry import RetryBudget
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.metrics import Metrics
+from verbenamux_runtime.peers import PeerLink, PeerServer
 
 
 def build_gateway(
--- a/libs/gateway/src/verbenamux_gateway/claims.py
+++ b/libs/gateway/src/verbenamux_gateway/claims.py
@@ -8,6 +8,7 @@
 import msgspec
 from gevent.event import AsyncResult, Event
 from returns.pipeline import is_successful
+
 from verbenamux_admission.claims import (
     Claim,
     ClaimBatch,
--- a/libs/gateway/src/verbenamux_gateway/cli.py
+++ b/libs/gateway/src/verbenamux_gateway/cli.py
@@ -2,12 +2,11 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_contracts.ids import new_instance_id
-from verbenamux_runtime.logs import DecisionLog, configure_logs
-from verbenamux_runtime.program import daemon_app
-
 from verbenamux_gateway.build import build_gateway
 from verbenamux_gateway.running import run_gateway
 from verbenamux_gateway.settings import GatewaySettings
+from verbenamux_runtime.logs import DecisionLog, configure_logs
+from verbenamux_runtime.program import daemon_app
 
 
 def serve(settings: GatewaySettings) -> None:
--- a/libs/gateway/src/verbenamux_gateway/delivery.py
+++ b/libs/gateway/src/verbenamux_gateway/delivery.py
@@ -21,10 +21,9 @@
     Resume,
     Started,
 )
-from verbenamux_routing.choose import Choice
-
 from verbenamux_gateway.fleet import Pending
 from verbenamux_gateway.work import Tools, Work
+from verbenamux_routing.choose import Choice
 
 PROBE_AFTER = timedelta(milliseconds=500)
 LOST_AFTER = timedelta(seconds=3)
@@ -72,7 +71,7 @@
             return Run.UNKNOWN
         return self.run
 
-    def pieces(self) -> Iterator[bytes]:
+    def pieces(self) -> Generator[bytes, None, None]:
         """Yield the answer's pieces in order, each exactly once.
 
         Raises RequestRejectedError with what is known of the run. When the
--- a/libs/gateway/src/verbenamux_gateway/fleet.py
+++ b/libs/gateway/src/verbenamux_gateway/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 from gevent.event import Event
 from gevent.queue import SimpleQueue
+
 from verbenamux_config.entities import Target
 from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.ids import AttemptId, new_attempt_id
--- a/libs/gateway/src/verbenamux_gateway/following.py
+++ b/libs/gateway/src/verbenamux_gateway/following.py
@@ -6,6 +6,7 @@
 
 from gevent.event import Event
 from returns.pipeline import is_successful
+
 from verbenamux_config.fold import fold_bodies, withdraw
 from verbenamux_config.state import (
     Configuration,
--- a/libs/gateway/src/verbenamux_gateway/gateway.py
+++ b/libs/gateway/src/verbenamux_gateway/gateway.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+
 from verbenamux_admission.escrow import Limits
 from verbenamux_config.entities import Target
 from verbenamux_config.state import (
@@ -17,10 +18,6 @@
 from verbenamux_contracts import messages as msg
 from verbenamux_contracts.clock import Clock, milliseconds, to_milliseconds
 from verbenamux_contracts.ids import InstanceId
-from verbenamux_runtime.logs import DecisionLog
-from verbenamux_runtime.metrics import Metrics
-from verbenamux_runtime.peers import PeerLink, PeerServer, Traffic
-
 from verbenamux_gateway.claims import ClaimKeeper
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.following import Follower
@@ -30,6 +27,9 @@
 from verbenamux_gateway.settings import GatewaySettings
 from verbenamux_gateway.shares import ShareKeeper
 from verbenamux_gateway.work import Tools
+from verbenamux_runtime.logs import DecisionLog
+from verbenamux_runtime.metrics import Metrics
+from verbenamux_runtime.peers import PeerLink, PeerServer, Traffic
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/verbenamux_gateway/planning.py
+++ b/libs/gateway/src/verbenamux_gateway/planning.py
@@ -14,6 +14,9 @@
     DropModel,
     PlaceModel,
 )
+from verbenamux_gateway.fleet import Fleet
+from verbenamux_gateway.peering import PeerTable
+from verbenamux_gateway.settings import PlanningSettings
 from verbenamux_placement.planner import (
     DemandTable,
     HostState,
@@ -24,10 +27,6 @@
 )
 from verbenamux_routing.views import TargetView
 
-from verbenamux_gateway.fleet import Fleet
-from verbenamux_gateway.peering import PeerTable
-from verbenamux_gateway.settings import PlanningSettings
-
 REPORT_BYTES = 16
 REPORT_BYTES_PER_SECOND = 1000
 REPORT_PATIENCE = 4
--- a/libs/gateway/src/verbenamux_gateway/rates.py
+++ b/libs/gateway/src/verbenamux_gateway/rates.py
@@ -12,7 +12,6 @@
 from verbenamux_contracts.errors import ErrorCode, RequestFailure
 from verbenamux_contracts.ids import new_attempt_id
 from verbenamux_contracts.messages import TokensAsk, TokensGrant
-
 from verbenamux_gateway.peering import PeerTable
 
 ASK_TIMEOUT = timedelta(milliseconds=300)
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -4,16 +4,16 @@
 from datetime import timedelta
 
 from returns.pipeline import is_successful
-from verbenamux_admission.rendezvous import pick
-from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
-from verbenamux_platform.http import parse_endpoint
-from verbenamux_runtime.program import every, keep_running, stop_on_signal
-from verbenamux_runtime.webserver import serve
 
+from verbenamux_admission.rendezvous import pick
 from verbenamux_gateway.answers import encode_broken_request
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.server import make_application
 from verbenamux_gateway.settings import RatePolicy
+from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
+from verbenamux_platform.http import parse_endpoint
+from verbenamux_runtime.program import every, keep_running, stop_on_signal
+from verbenamux_runtime.webserver import serve
 
 HOSTS_INTERVAL = timedelta(seconds=1)
 TICK = timedelta(milliseconds=300)
--- a/libs/gateway/src/verbenamux_gateway/server.py
+++ b/libs/gateway/src/verbenamux_gateway/server.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
+
 from verbenamux_contracts.errors import (
     ErrorCode,
     RequestFailure,
@@ -13,10 +14,6 @@
     Run,
 )
 from verbenamux_contracts.ids import RequestId, new_request_id
-from verbenamux_routing.views import TargetView
-from verbenamux_runtime import metrics
-from verbenamux_runtime.webserver import Application, StartResponse
-
 from verbenamux_gateway import accounts, answers, completions
 from verbenamux_gateway.admission import (
     BODY_BY_PATH,
@@ -29,6 +26,9 @@
 from verbenamux_gateway.border import Environ, Incoming, read_incoming
 from verbenamux_gateway.delivery import Delivery
 from verbenamux_gateway.gateway import Gateway
+from verbenamux_routing.views import TargetView
+from verbenamux_runtime import metrics
+from verbenamux_runtime.webserver import Application, StartResponse
 
 SERVICES_PREFIX = '/services/'
 UNAVAILABLE = 503
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 from returns.pipeline import is_successful
+
 from verbenamux_admission import book as records
 from verbenamux_admission.escrow import Escrow
 from verbenamux_admission.lease import HolderLease
@@ -21,12 +22,11 @@
     LeasePromise,
     Message,
 )
-from verbenamux_platform.errors import PlatformFault
-from verbenamux_platform.log import LogClient
-
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.peering import PeerTable
 from verbenamux_gateway.rates import EscrowGate
+from verbenamux_platform.errors import PlatformFault
+from verbenamux_platform.log import LogClient
 
 SHARES_STREAM = 'shares'
 WITNESSES = 5
--- a/libs/gateway/src/verbenamux_gateway/work.py
+++ b/libs/gateway/src/verbenamux_gateway/work.py
@@ -6,12 +6,11 @@
 
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import RequestId
+from verbenamux_gateway.fleet import Fleet
 from verbenamux_routing.choose import Chooser
 from verbenamux_routing.retry import RetryBudget
 from verbenamux_routing.score import Need
 
-from verbenamux_gateway.fleet import Fleet
-
 Decide = Callable[..., None]
 
 
--- a/libs/harness/src/verbenamux_harness/capacity.py
+++ b/libs/harness/src/verbenamux_harness/capacity.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import msgspec
+
 from verbenamux_gateway.fleet import (
     GREETING_BYTES,
     GREETING_BYTES_PER_SECOND,
@@ -15,7 +16,6 @@
     REPORT_BYTES_PER_SECOND,
 )
 from verbenamux_gateway.shares import HOLDERS_PER_WORKSPACE, WITNESSES
-
 from verbenamux_harness.microbench import Slope
 
 NODES = 390
--- a/libs/harness/src/verbenamux_harness/demo.py
+++ b/libs/harness/src/verbenamux_harness/demo.py
@@ -3,11 +3,10 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from verbenamux_load.summary import summarize, table
-
 from verbenamux_harness.language import Scenario, parse_scenarios
 from verbenamux_harness.proving import describe
 from verbenamux_harness.runner import Verdict, run_scenario
+from verbenamux_load.summary import summarize, table
 
 DEMO = """
 scenario demo
--- a/libs/harness/src/verbenamux_harness/experiment.py
+++ b/libs/harness/src/verbenamux_harness/experiment.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 import msgspec
-from verbenamux_load.evidence import Evidence
-from verbenamux_load.history import Completion, Invocation
-from verbenamux_load.summary import outcome_of
 
 from verbenamux_harness.language import Scenario, parse_scenarios
 from verbenamux_harness.runner import run_scenario
+from verbenamux_load.evidence import Evidence
+from verbenamux_load.history import Completion, Invocation
+from verbenamux_load.summary import outcome_of
 
 FLEETS_AT_ONCE = 2
 FIRST_TOKEN_SECONDS = 1.1
--- a/libs/harness/src/verbenamux_harness/fleetbench.py
+++ b/libs/harness/src/verbenamux_harness/fleetbench.py
@@ -11,14 +11,14 @@
 from typing import Any
 
 import msgspec
-from verbenamux_load.history import read_history
-from verbenamux_load.summary import outcome_of, pair
 
 from verbenamux_harness.fleet import Fleet, running
 from verbenamux_harness.microbench import Slope
 from verbenamux_harness.processes import Process, free_addresses, program
 from verbenamux_harness.shapes import FleetShape, nakhla
 from verbenamux_harness.web import call, wait_until
+from verbenamux_load.history import read_history
+from verbenamux_load.summary import outcome_of, pair
 
 TICKS_A_SECOND = os.sysconf('SC_CLK_TCK')
 KILOBYTE = 1024
--- a/libs/harness/src/verbenamux_harness/floor.py
+++ b/libs/harness/src/verbenamux_harness/floor.py
@@ -7,6 +7,7 @@
 import msgspec
 import zmq.green as zmq
 from gevent import monkey
+
 from verbenamux_runtime.webserver import serve
 
 
--- a/libs/harness/src/verbenamux_harness/microbench.py
+++ b/libs/harness/src/verbenamux_harness/microbench.py
@@ -10,6 +10,7 @@
 from statistics import median
 
 import msgspec
+
 from verbenamux_admission import book as records
 from verbenamux_admission.escrow import Escrow, Limits
 from verbenamux_admission.fairqueue import FairQueue
--- a/libs/harness/src/verbenamux_harness/runner.py
+++ b/libs/harness/src/verbenamux_harness/runner.py
@@ -11,15 +11,6 @@
 from typing import Any
 
 import msgspec
-from verbenamux_load.checker import Violation, find_violations
-from verbenamux_load.evidence import (
-    Evidence,
-    RateLimit,
-    VersionEvent,
-    collect_calls,
-)
-from verbenamux_load.history import read_history
-from verbenamux_load.summary import outcome_of
 
 from verbenamux_harness.actions import Stage
 from verbenamux_harness.fleet import Fleet, running
@@ -31,6 +22,15 @@
 )
 from verbenamux_harness.processes import program
 from verbenamux_harness.shapes import SHAPE_BY_NAME, FleetShape
+from verbenamux_load.checker import Violation, find_violations
+from verbenamux_load.evidence import (
+    Evidence,
+    RateLimit,
+    VersionEvent,
+    collect_calls,
+)
+from verbenamux_load.history import read_history
+from verbenamux_load.summary import outcome_of
 
 TargetEvents = tuple[str, list[dict[str, Any]]]
 
--- a/libs/load/src/verbenamux_load/cli.py
+++ b/libs/load/src/verbenamux_load/cli.py
@@ -4,11 +4,11 @@
 from typing import Annotated
 
 import typer
-from verbenamux_runtime.program import load_or_exit, print_version
 
 from verbenamux_load.plan import LoadPlan
 from verbenamux_load.running import LoadRun
 from verbenamux_load.summary import summarize, table
+from verbenamux_runtime.program import load_or_exit, print_version
 
 app = typer.Typer(
     help='Open-loop load, and histories that can be checked.',
--- a/libs/platform/src/verbenamux_platform/configuration_log.py
+++ b/libs/platform/src/verbenamux_platform/configuration_log.py
@@ -2,6 +2,7 @@
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.fold import fold_bodies
 from verbenamux_config.state import (
     Configuration,
@@ -9,7 +10,6 @@
     decode_snapshot,
     newer,
 )
-
 from verbenamux_platform.errors import PlatformFailure, PlatformFault
 from verbenamux_platform.log import LogClient
 
--- a/libs/routing/src/verbenamux_routing/views.py
+++ b/libs/routing/src/verbenamux_routing/views.py
@@ -7,7 +7,6 @@
 
 from verbenamux_config.entities import Target, TargetKind
 from verbenamux_contracts.messages import Heartbeat
-
 from verbenamux_routing.breaker import Breaker
 
 PREFIXES_KEPT = 4096
--- a/libs/runtime/src/verbenamux_runtime/logs.py
+++ b/libs/runtime/src/verbenamux_runtime/logs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from loguru import logger
+
 from verbenamux_contracts.clock import Clock
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
--- a/libs/runtime/src/verbenamux_runtime/peers.py
+++ b/libs/runtime/src/verbenamux_runtime/peers.py
@@ -8,6 +8,7 @@
 import gevent
 import zmq.green as zmq
 from gevent.event import AsyncResult
+
 from verbenamux_contracts.messages import (
     AnyMessage,
     Message,
@@ -15,7 +16,6 @@
     decode_message,
     encode_message,
 )
-
 from verbenamux_runtime.logs import write_error
 
 HIGH_WATER_MESSAGES = 100_000
--- a/libs/standin/src/verbenamux_standin/engine.py
+++ b/libs/standin/src/verbenamux_standin/engine.py
@@ -8,8 +8,8 @@
 import gevent
 import msgspec
 from gevent.lock import BoundedSemaphore
-from verbenamux_contracts.clock import Clock, milliseconds
 
+from verbenamux_contracts.clock import Clock, milliseconds
 from verbenamux_standin.generation import (
     BLOCK_WORDS,
     DONE,
--- a/libs/standin/src/verbenamux_standin/engine_routes.py
+++ b/libs/standin/src/verbenamux_standin/engine_routes.py
@@ -9,8 +9,8 @@
 import msgspec
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPConnectionClosed
-from verbenamux_contracts.clock import Clock
 
+from verbenamux_contracts.clock import Clock
 from verbenamux_standin.engine import EnginePace, Generator
 from verbenamux_standin.generation import CompletionBody
 from verbenamux_standin.history import History
--- a/libs/standin/src/verbenamux_standin/history.py
+++ b/libs/standin/src/verbenamux_standin/history.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 import msgspec
-from verbenamux_contracts.clock import Clock
 
+from verbenamux_contracts.clock import Clock
 from verbenamux_standin.web import Reply, Request
 
 
--- a/libs/standin/src/verbenamux_standin/hosts.py
+++ b/libs/standin/src/verbenamux_standin/hosts.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 import msgspec
-from verbenamux_contracts.clock import Clock
 
+from verbenamux_contracts.clock import Clock
 from verbenamux_standin.web import Reply, Request, json_reply
 
 
--- a/libs/standin/src/verbenamux_standin/log.py
+++ b/libs/standin/src/verbenamux_standin/log.py
@@ -7,8 +7,8 @@
 
 import gevent
 from gevent.event import Event
-from verbenamux_contracts.clock import Clock
 
+from verbenamux_contracts.clock import Clock
 from verbenamux_standin.web import (
     ACCEPTED,
     GONE,
--- a/libs/standin/src/verbenamux_standin/service.py
+++ b/libs/standin/src/verbenamux_standin/service.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 
 from verbenamux_contracts.clock import Clock
-
 from verbenamux_standin.history import History
 from verbenamux_standin.web import Reply, Request, json_reply
 
--- a/libs/standin/src/verbenamux_standin/store.py
+++ b/libs/standin/src/verbenamux_standin/store.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 
 import msgspec
-from verbenamux_contracts.clock import Clock
 
+from verbenamux_contracts.clock import Clock
 from verbenamux_standin.web import Reply, Request, json_reply
 
 
--- a/libs/standin/src/verbenamux_standin/web.py
+++ b/libs/standin/src/verbenamux_standin/web.py
@@ -7,6 +7,7 @@
 
 import gevent
 import msgspec
+
 from verbenamux_runtime.webserver import (
     Application,
     Environ,
--- a/tests/admission/test_claims.py
+++ b/tests/admission/test_claims.py
@@ -1,6 +1,7 @@
 """The first claim on the log owns a key until its owner releases it."""
 
 import msgspec
+
 from verbenamux_admission.claims import Claim, ClaimBatch, ClaimTable
 
 
--- a/tests/admission/test_escrow_model.py
+++ b/tests/admission/test_escrow_model.py
@@ -21,6 +21,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from verbenamux_admission import book as records
 from verbenamux_admission.escrow import Escrow, Limits
 from verbenamux_admission.lease import HolderLease, WitnessDesk
--- a/tests/admission/test_fairqueue.py
+++ b/tests/admission/test_fairqueue.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from verbenamux_admission.fairqueue import FairQueue
 
 
--- a/tests/agent/test_consent.py
+++ b/tests/agent/test_consent.py
@@ -16,6 +16,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from verbenamux_agent.holdings import Holdings
 from verbenamux_contracts.clock import ManualClock, milliseconds
 from verbenamux_placement.ledger import Ledger, RowState
--- a/tests/agent/test_holdings.py
+++ b/tests/agent/test_holdings.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 from returns.result import Result, Success
+
 from verbenamux_agent.holdings import Holdings
 from verbenamux_agent.target import Call, TargetFailure
 from verbenamux_config.entities import Adapter
--- a/tests/agent/test_worklist.py
+++ b/tests/agent/test_worklist.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+
 from verbenamux_agent.attempts import AttemptTable
 from verbenamux_agent.worklist import Pace, WorkList
 from verbenamux_contracts import messages as msg
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
+
 from verbenamux_config import entities, operations
 from verbenamux_config.access import authenticate, hash_key
 from verbenamux_config.fold import (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures that several packages' tests share."""
 
 import pytest
+
 from verbenamux_contracts.clock import ManualClock
 
 
--- a/tests/ctl/test_patching.py
+++ b/tests/ctl/test_patching.py
@@ -6,6 +6,7 @@
 import pytest
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.entities import Workspace
 from verbenamux_config.fold import encode_record
 from verbenamux_config.operations import Patch, PutWorkspace
--- a/tests/gateway/test_border.py
+++ b/tests/gateway/test_border.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
+
 from verbenamux_contracts.errors import ErrorCode, Run
 from verbenamux_gateway.border import decode_json, read_incoming
 from verbenamux_gateway.completions import (
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -5,6 +5,7 @@
 
 import pytest
 from gevent.queue import SimpleQueue
+
 from verbenamux_contracts import messages as msg
 from verbenamux_contracts.clock import ManualClock, milliseconds
 from verbenamux_contracts.errors import (
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_gateway.gateway import Gateway
 
--- a/tests/gateway/test_planning.py
+++ b/tests/gateway/test_planning.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import pytest
+
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_contracts.messages import DemandReport
 from verbenamux_gateway.fleet import Fleet
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import pytest
+
 from verbenamux_admission import book as records
 from verbenamux_admission.escrow import Escrow, Limits
 from verbenamux_admission.lease import HolderLease
--- a/tests/harness/test_bad_input.py
+++ b/tests/harness/test_bad_input.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+
 from verbenamux_harness.fleet import Fleet, running
 from verbenamux_harness.shapes import nakhla
 
--- a/tests/harness/test_demo.py
+++ b/tests/harness/test_demo.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+
 from verbenamux_harness.demo import run_demo
 
 pytestmark = pytest.mark.processes
--- a/tests/harness/test_language.py
+++ b/tests/harness/test_language.py
@@ -1,6 +1,7 @@
 """The scenario language."""
 
 import pytest
+
 from verbenamux_harness.language import (
     Expectation,
     LoadClause,
--- a/tests/harness/test_path.py
+++ b/tests/harness/test_path.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+
 from verbenamux_harness.fleet import Fleet, running
 from verbenamux_harness.shapes import nakhla
 from verbenamux_harness.web import call
--- a/tests/harness/test_programs.py
+++ b/tests/harness/test_programs.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+
 from verbenamux_harness.processes import program
 
 pytestmark = pytest.mark.processes
--- a/tests/load/test_checker.py
+++ b/tests/load/test_checker.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+
 from verbenamux_load.checker import Promise, find_violations
 from verbenamux_load.evidence import Evidence, RateLimit, VersionEvent
 from verbenamux_load.history import Completion, Invocation
--- a/tests/placement/test_ledger.py
+++ b/tests/placement/test_ledger.py
@@ -11,6 +11,7 @@
     rule,
     run_state_machine_as_test,
 )
+
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_placement.ledger import Ledger, ReportedRow, Row, RowState
 
--- a/tests/platform/test_configuration_log.py
+++ b/tests/platform/test_configuration_log.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from returns.result import Failure, Result, Success
+
 from verbenamux_config.state import Configuration, encode_snapshot
 from verbenamux_platform.configuration_log import newest_snapshot
 from verbenamux_platform.errors import PlatformFailure, PlatformFault
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+
 from verbenamux_config.entities import Target, TargetKind
 from verbenamux_contracts.clock import milliseconds
 from verbenamux_contracts.ids import InstanceId
--- a/tests/runtime/test_program.py
+++ b/tests/runtime/test_program.py
@@ -1,6 +1,7 @@
 """Tasks that live as long as their process."""
 
 import gevent
+
 from verbenamux_contracts.messages import Accepted, encode_message
 from verbenamux_harness.processes import free_addresses
 from verbenamux_runtime import program
--- a/tests/runtime/test_settings.py
+++ b/tests/runtime/test_settings.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
+
 from verbenamux_agent.settings import AgentSettings
 from verbenamux_gateway.settings import GatewaySettings
 from verbenamux_runtime.settings import (
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+
 from verbenamux_harness.language import Scenario, read_scenarios
 from verbenamux_harness.proving import FLEETS_AT_ONCE, describe
 from verbenamux_harness.runner import Verdict, run_scenario
