--- a/libs/contracts/src/verbenamux_contracts/clock.py
+++ b/libs/contracts/src/verbenamux_contracts/clock.py
@@ -28,8 +28,12 @@
         return datetime.now(UTC)
 
     def elapsed(self) -> timedelta:
-        """Return the monotonic time of this host."""
-        return timedelta(seconds=time.monotonic())
+        """Return the time since this host's start.
+
+        It goes on while the host is suspended, so that what was known
+        before a suspension is as old afterwards as it really is.
+        """
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def sleep(self, duration: timedelta) -> None:
         """Yield to the event loop for the duration."""
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -301,6 +301,102 @@
     target: str
 
 
+class KeeperHello(Message, frozen=True):
+    """A gateway asks a keeper for reports of its engine."""
+
+    sender: str
+
+
+class ModelSize(msgspec.Struct, frozen=True, array_like=True):
+    """A model with the memory that its weights take."""
+
+    name: str
+    weights_mb: float
+
+
+class EngineNotice(Message, frozen=True):
+    """What an engine may hold, from the newest configuration.
+
+    `store_loads_per_second` is the pace of the weight store for all
+    `targets` of the service together.
+    """
+
+    version: int
+    models: tuple[ModelSize, ...]
+    weights_mb: float
+    adapter_places: int
+    store_loads_per_second: float
+    targets: int
+
+
+class KeeperReport(Message, frozen=True):
+    """A keeper tells what its engine holds and does now.
+
+    `pending` lists models and adapters that are being loaded. While
+    `store_loads_ready` is false, this engine's part of the weight store's
+    pace is spent.
+    """
+
+    target_id: str
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    pending: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
+    in_memory: tuple[str, ...] = ()
+    queued: int = 0
+    active: int = 0
+    used_tokens: int = 0
+    total_tokens: int = 0
+    is_ordering: bool = False
+    store_loads_ready: bool = True
+
+
+class ModelAsk(Message, frozen=True):
+    """A gateway asks a keeper to load a model once others made way."""
+
+    ask_id: str
+    model: str
+    evict: tuple[str, ...] = ()
+
+
+class AdapterAsk(Message, frozen=True):
+    """A gateway asks a keeper to load an adapter of a model it holds."""
+
+    ask_id: str
+    model: str
+    adapter: str
+
+
+class AdapterUse(Message, frozen=True):
+    """A gateway sends a request that uses a loaded adapter."""
+
+    model: str
+    adapter: str
+
+
+class LoadReply(Message, frozen=True):
+    """Whether what was asked for is in place; `cause` tells why not."""
+
+    ask_id: str
+    in_place: bool
+    cause: str = ''
+
+
+class UsageNotice(Message, frozen=True):
+    """A gateway tells the others what it spent and has in flight.
+
+    The sums start at zero with each `instance`. `asked` counts requests
+    by model since then.
+    """
+
+    sender: str
+    instance: str
+    spent: dict[str, float]
+    in_flight: dict[str, int]
+    asked: dict[str, int]
+    leaving: bool = False
+
+
 AnyMessage: TypeAlias = (
     Hello
     | Heartbeat
@@ -330,6 +426,14 @@
     | KeepAsk
     | KeepReply
     | Drain
+    | KeeperHello
+    | EngineNotice
+    | KeeperReport
+    | ModelAsk
+    | AdapterAsk
+    | AdapterUse
+    | LoadReply
+    | UsageNotice
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/libs/http/src/verbenamux_http/errors.py
@@ -0,0 +1,43 @@
+"""How an exchange over HTTP can fail, by what is known of its effect."""
+
+import enum
+from dataclasses import dataclass
+
+
+class Fault(enum.Enum):
+    """The kinds of failure of one exchange with a peer.
+
+    UNSENT: no byte of the request reached the peer.
+    TIMED_OUT: the peer did not answer in time.
+    BROKEN: the connection ended before the answer did.
+    MALFORMED: the peer sent bytes that are no answer.
+    """
+
+    UNSENT = 'unsent'
+    TIMED_OUT = 'timed_out'
+    BROKEN = 'broken'
+    MALFORMED = 'malformed'
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeFailure(Exception):
+    """An exchange that gave no whole answer."""
+
+    fault: Fault
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestError(Exception):
+    """A caller's bytes that are refused, with the status to refuse them.
+
+    `status` is None when the caller is gone or was silent between requests
+    and nothing needs to be said.
+    """
+
+    status: int | None
+    message: str
+
+
+class CallerGone(Exception):
+    """The caller closed its connection while its request was handled."""
--- /dev/null
+++ b/libs/http/src/verbenamux_http/server.py
@@ -0,0 +1,298 @@
+"""A listener for callers: one task per connection."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from verbenamux_http.errors import CallerGone, RequestError
+from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import Request, RequestParser, SizeLimits
+
+RECEIVE_BYTES = 65536
+BACKLOG = 1024
+# How long a refused caller may go on sending before the reset.
+LINGER = timedelta(milliseconds=500)
+# How long a caller may take no bytes at all before it counts as gone.
+WRITE_STALL_MOST = timedelta(seconds=5)
+REQUEST_TIMEOUT = 408
+REASON_BY_STATUS = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeLimits:
+    """What a caller may send, and how long it may take or be idle."""
+
+    sizes: SizeLimits
+    header_time: timedelta
+    idle_time: timedelta
+
+
+class Reply:
+    """The answer to one request, written as it becomes known.
+
+    Raises CallerGone when the caller takes no more bytes.
+    """
+
+    def __init__(self, opened: socket.socket, keeps_connection: bool) -> None:
+        """Prepare an answer; nothing is written yet."""
+        self.is_started = False
+        self.is_complete = False
+        self.keeps_connection = keeps_connection
+        self._socket = opened
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer.
+
+        A `Content-Length` among the headers is replaced by the true one.
+        """
+        framed = headers.replaced((('Content-Length', str(len(body))),))
+        self._write(self._encode_head(status, framed) + body)
+        self.is_complete = True
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer that comes in pieces."""
+        framed = headers.without(('Content-Length',)).replaced(
+            (('Transfer-Encoding', 'chunked'),),
+        )
+        self._write(self._encode_head(status, framed))
+
+    def send_piece(self, piece: bytes) -> None:
+        """Write a piece of the body."""
+        self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
+
+    def finish(self) -> None:
+        """Write the end of an answer that came in pieces."""
+        self._write(b'0\r\n\r\n')
+        self.is_complete = True
+
+    def _encode_head(self, status: int, headers: Headers) -> bytes:
+        self.is_started = True
+        reason = REASON_BY_STATUS.get(status, 'Status')
+        start = f'HTTP/1.1 {status} {reason}\r\n'.encode()
+        closing = b'' if self.keeps_connection else b'Connection: close\r\n'
+        return b''.join((start, *headers.encoded(), closing, b'\r\n'))
+
+    def _write(self, encoded: bytes) -> None:
+        try:
+            self._socket.sendall(encoded)
+        except OSError as error:
+            raise CallerGone(repr(error)) from error
+
+
+Handler = Callable[[Request, Reply], None]
+EncodeRefusal = Callable[[RequestError], tuple[Headers, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class Callbacks:
+    """What a listener asks of the program behind it.
+
+    `refuse` words the answer to bytes that are refused; `is_stopping` tells
+    whether connections are to be closed behind their answers.
+    """
+
+    handle: Handler
+    refuse: EncodeRefusal
+    limits: Callable[[], EdgeLimits]
+    is_stopping: Callable[[], bool]
+
+
+class Listener:
+    """Accepts callers on an address until it is stopped."""
+
+    def __init__(self, address: tuple[str, int], callbacks: Callbacks) -> None:
+        """Bind and accept."""
+        self._callbacks = callbacks
+        self._idle: set[socket.socket] = set()
+        self._server = StreamServer(
+            address,
+            self._serve,
+            backlog=BACKLOG,
+        )
+        self._server.start()
+        self.active = 0
+        self.all_answered = Event()
+        self.all_answered.set()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket."""
+        self._server.stop_accepting()
+        self._server.socket.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is waiting or arriving."""
+        for opened in tuple(self._idle):
+            opened.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, opened: socket.socket, _peer: Any) -> None:
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        caller = _Caller(opened, self._callbacks)
+        try:
+            self._answer_all(caller, opened)
+        except CallerGone:
+            opened.close()
+        except RequestError as error:
+            caller.refuse(error)
+        finally:
+            self._idle.discard(opened)
+            opened.close()
+
+    def _answer_all(self, caller: '_Caller', opened: socket.socket) -> None:
+        while True:
+            self._idle.add(opened)
+            request = caller.read_request(lambda: self._idle.discard(opened))
+            self.active += 1
+            self.all_answered.clear()
+            try:
+                keeps = caller.answer(request)
+            finally:
+                self.active -= 1
+                if not self.active:
+                    self.all_answered.set()
+            if not keeps:
+                return
+
+
+class _Caller:
+    """One caller's connection."""
+
+    def __init__(self, opened: socket.socket, callbacks: Callbacks) -> None:
+        self._socket = opened
+        self._callbacks = callbacks
+        self._parser = RequestParser(lambda: callbacks.limits().sizes)
+
+    def read_request(self, on_first_byte: Callable[[], None]) -> Request:
+        """Return the next request; raises RequestError or CallerGone.
+
+        The time for its headers counts from their first byte.
+        """
+        limits = self._callbacks.limits()
+        allowed = limits.idle_time
+        while not self._parser.complete:
+            received = self._receive(allowed)
+            on_first_byte()
+            if self._parser.has_head or not self._parser.is_inside:
+                allowed = limits.header_time
+            self._parser.feed(received)
+            if self._parser.has_head and self._parser.is_inside:
+                allowed = limits.idle_time
+                self._welcome_body()
+        on_first_byte()
+        return self._parser.complete.popleft()
+
+    def answer(self, request: Request) -> bool:
+        """Answer a request; tell whether the connection goes on."""
+        stopping = self._callbacks.is_stopping()
+        reply = Reply(
+            self._socket,
+            request.keeps_connection and not stopping,
+        )
+        self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
+        watch = _watch_for_close(self._socket, gevent.getcurrent())
+        try:
+            self._callbacks.handle(request, reply)
+        finally:
+            watch.stop()
+            watch.close()
+        return reply.is_complete and reply.keeps_connection
+
+    def refuse(self, error: RequestError) -> None:
+        """Answer bytes that are refused, and close without a reset."""
+        if error.status is None:
+            return
+        headers, body = self._callbacks.refuse(error)
+        reply = Reply(self._socket, keeps_connection=False)
+        try:
+            reply.send(error.status, headers, body)
+        except CallerGone:
+            return
+        self._linger()
+
+    def _welcome_body(self) -> None:
+        if self._parser.expects_continue:
+            self._parser.expects_continue = False
+            self._socket.sendall(CONTINUE)
+
+    def _receive(self, allowed: timedelta) -> bytes:
+        self._socket.settimeout(allowed.total_seconds())
+        try:
+            received = self._socket.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            status = REQUEST_TIMEOUT if self._parser.is_inside else None
+            raise RequestError(status, 'the request took too long') from error
+        except OSError as error:
+            raise CallerGone(repr(error)) from error
+        if not received:
+            raise CallerGone('closed')
+        return received
+
+    def _linger(self) -> None:
+        with gevent.Timeout(LINGER.total_seconds(), exception=False):
+            try:
+                self._discard()
+            except OSError:
+                # Nothing is owed to a caller that was refused and is gone.
+                return
+
+    def _discard(self) -> None:
+        self._socket.shutdown(socket.SHUT_WR)
+        self._socket.settimeout(LINGER.total_seconds())
+        while self._socket.recv(RECEIVE_BYTES):
+            gevent.sleep(0)
+
+
+def _watch_for_close(
+    opened: socket.socket,
+    task: gevent.greenlet,
+) -> Any:
+    """Raise CallerGone in the task when its caller closes.
+
+    Bytes of a further request end the watch: the close is then seen when
+    the answer is written.
+    """
+    watcher = gevent.get_hub().loop.io(opened.fileno(), 1)
+
+    def on_readable() -> None:
+        try:
+            peeked = opened._sock.recv(1, socket.MSG_PEEK)  # noqa: SLF001
+        except BlockingIOError:
+            return
+        except OSError:
+            peeked = b''
+        watcher.stop()
+        if not peeked:
+            gevent.get_hub().loop.run_callback(
+                _throw_if_alive, task, CallerGone('closed while waiting'),
+            )
+
+    watcher.start(on_readable)
+    return watcher
+
+
+def _throw_if_alive(task: Any, error: Exception) -> None:
+    if not task.dead:
+        task.throw(error)
+
+
+def encode_head_fields(fields: Iterable[tuple[str, str]]) -> Headers:
+    """Return headers of the given fields."""
+    return Headers(tuple(fields))
--- /dev/null
+++ b/libs/keeper/src/verbenamux_keeper/__init__.py
@@ -0,0 +1,1 @@
+"""The keeper of an engine: its only giver of orders."""
--- /dev/null
+++ b/libs/keeper/src/verbenamux_keeper/engine.py
@@ -0,0 +1,88 @@
+"""What a keeper asks of an engine, whatever protocol it speaks."""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+class OrderKind(enum.Enum):
+    """What an order does with a model or an adapter."""
+
+    LOAD = 'load'
+    UNLOAD = 'unload'
+
+
+class OrderAnswer(enum.Enum):
+    """How an engine answered an order.
+
+    UNKNOWN: no answer came; the order may be carried out, even much later.
+    """
+
+    ACCEPTED = 'accepted'
+    HOLDS = 'holds'
+    CONFLICT = 'conflict'
+    FENCED = 'fenced'
+    INVALID = 'invalid'
+    OTHER_TARGET = 'other_target'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order; the engine takes it only after `after_orders` others.
+
+    That makes an order that is repeated, or carried out late, harmless: of
+    all orders with one number the engine takes the first.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str | None
+    after_orders: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself. Memory is in tokens.
+
+    `orders_taken` counts the orders it accepted since its start.
+    """
+
+    adapters_by_model: dict[str, frozenset[str]] = field(default_factory=dict)
+    pending: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    is_busy: bool = False
+    orders_taken: int = 0
+    queued: int = 0
+    active: int = 0
+    used_tokens: int = 0
+    total_tokens: int = 0
+    started_ms: int = 0
+
+    @property
+    def models(self) -> frozenset[str]:
+        """Return the models that are in place."""
+        return frozenset(self.adapters_by_model)
+
+    @property
+    def adapters(self) -> frozenset[str]:
+        """Return the adapters in place, each as MODEL/ADAPTER."""
+        return frozenset(
+            f'{model}/{adapter}'
+            for model, adapters in self.adapters_by_model.items()
+            for adapter in adapters
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EnginePort:
+    """The calls to an engine.
+
+    `read` and `identify` return None when no usable answer came.
+    """
+
+    read: Callable[[], EngineState | None]
+    identify: Callable[[], str | None]
+    order: Callable[[str, int, Order], OrderAnswer]
+    new_fencing_token: Callable[[], int | None]
--- /dev/null
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -0,0 +1,442 @@
+"""Carrying out what gateways ask of an engine, one order at a time."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import gevent
+from gevent.lock import RLock
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.messages import (
+    AdapterAsk,
+    AdapterUse,
+    AnyMessage,
+    EngineNotice,
+    KeeperHello,
+    KeeperReport,
+    LoadReply,
+    ModelAsk,
+)
+from verbenamux_keeper.engine import (
+    EnginePort,
+    EngineState,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+from verbenamux_keeper.pacing import StorePace
+
+# The engine is read this often, and faster while an order is carried out.
+READ_PERIOD = timedelta(milliseconds=150)
+ORDER_PERIOD = timedelta(milliseconds=40)
+ADAPTER_PERIOD = timedelta(milliseconds=4)
+# Reports whose counts alone changed go out no more often than this.
+REPORT_PERIOD = timedelta(milliseconds=250)
+# Reports that say nothing new go out this often.
+IDLE_REPORT_PERIOD = timedelta(seconds=1)
+# A gateway that has not said hello for this long gets no reports.
+SUBSCRIBER_SILENCE = timedelta(seconds=8)
+# An order is given up after so long, and a model's load altogether.
+ORDER_MOST = timedelta(seconds=4)
+MODEL_MOST = timedelta(seconds=20)
+ADAPTER_MOST = timedelta(milliseconds=600)
+# An adapter used within this time is not made to go.
+ADAPTER_REST = timedelta(milliseconds=100)
+# Adapters that may be on their way to an engine at the same time.
+ADAPTERS_PENDING_MOST = 4
+# Pause before an order that got no answer is sent again.
+ANSWER_PAUSE = timedelta(milliseconds=200)
+
+Send = Callable[[bytes, KeeperReport | LoadReply], object]
+
+
+@dataclass(slots=True)
+class KeeperState:
+    """All that a keeper knows; times are monotonic."""
+
+    target_id: str | None = None
+    engine: EngineState | None = None
+    notice: EngineNotice | None = None
+    fencing_token: int | None = None
+    ordering: str | None = None
+    subscribers: dict[bytes, timedelta] = field(default_factory=dict)
+    used_at_by_adapter: dict[str, timedelta] = field(default_factory=dict)
+
+
+class Keeper:
+    """Reads an engine, tells gateways, and gives the orders they ask for."""
+
+    def __init__(
+        self,
+        port: EnginePort,
+        pace: StorePace,
+        clock: Clock,
+        send: Send,
+        log: Callable[..., None],
+    ) -> None:
+        """Start with nothing known of the engine."""
+        self.state = KeeperState()
+        self._port = port
+        self._pace = pace
+        self._clock = clock
+        self._send = send
+        self._log = log
+        self._models_lock = RLock()
+        self._orders_lock = RLock()
+        self._told: KeeperReport | None = None
+        self._told_at = timedelta()
+
+    def receive(self, sender: bytes, message: AnyMessage) -> None:
+        """Take in a gateway's message; asks are carried out in tasks."""
+        if isinstance(message, KeeperHello):
+            is_new = sender not in self.state.subscribers
+            self.state.subscribers[sender] = self._clock.elapsed()
+            if is_new and self.state.engine is not None:
+                self._send(sender, self._report())
+        elif isinstance(message, EngineNotice):
+            self._take_notice(message)
+        elif isinstance(message, AdapterUse):
+            self._note_use(f'{message.model}/{message.adapter}')
+        elif isinstance(message, ModelAsk):
+            gevent.spawn(self._answer_model, sender, message)
+        elif isinstance(message, AdapterAsk):
+            gevent.spawn(self._answer_adapter, sender, message)
+
+    def run(self) -> None:
+        """Read the engine for ever and tell gateways what changed."""
+        while True:
+            self.refresh()
+            self.tell()
+            period = ORDER_PERIOD if self.state.ordering else READ_PERIOD
+            self._clock.sleep(period)
+
+    def refresh(self) -> EngineState | None:
+        """Read the engine; a restarted one is identified anew."""
+        read = self._port.read()
+        known = self.state.engine
+        if read is None:
+            return None
+        is_restarted = (
+            known is None
+            or read.started_ms != known.started_ms
+            or read.orders_taken < known.orders_taken
+        )
+        if is_restarted or self.state.target_id is None:
+            self.state.target_id = self._port.identify()
+            self._log(
+                'engine_identified',
+                target=self.state.target_id,
+                started_ms=read.started_ms,
+                models=sorted(read.models),
+            )
+        self.state.engine = read
+        return read
+
+    def tell(self) -> None:
+        """Send a report when something changed, or one is due."""
+        if self.state.engine is None or self.state.target_id is None:
+            return
+        report = self._report()
+        now = self._clock.elapsed()
+        silence = now - self._told_at
+        if not self._is_due(report, silence):
+            return
+        self._told, self._told_at = report, now
+        for sender, heard_at in tuple(self.state.subscribers.items()):
+            is_silent = now - heard_at > SUBSCRIBER_SILENCE
+            if is_silent or self._send(sender, report) is False:
+                self.state.subscribers.pop(sender)
+
+    def _is_due(self, report: KeeperReport, silence: timedelta) -> bool:
+        told = self._told
+        if told is None or silence >= IDLE_REPORT_PERIOD:
+            return True
+        if _holding(report) != _holding(told):
+            return True
+        return report != told and silence >= REPORT_PERIOD
+
+    def _report(self) -> KeeperReport:
+        engine = self.state.engine or EngineState()
+        notice = self.state.notice
+        pending = set(engine.pending)
+        if self.state.ordering is not None:
+            pending.add(self.state.ordering)
+        return KeeperReport(
+            target_id=self.state.target_id or '',
+            models=tuple(sorted(engine.models)),
+            adapters=tuple(sorted(engine.adapters)),
+            pending=tuple(sorted(pending)),
+            on_disk=tuple(sorted(engine.on_disk)),
+            in_memory=tuple(sorted(engine.in_memory)),
+            queued=engine.queued,
+            active=engine.active,
+            used_tokens=engine.used_tokens,
+            total_tokens=engine.total_tokens,
+            is_ordering=engine.is_busy or self.state.ordering is not None,
+            store_loads_ready=notice is not None
+            and self._pace.is_ready(
+                notice.store_loads_per_second,
+                notice.targets,
+            ),
+        )
+
+    def _take_notice(self, notice: EngineNotice) -> None:
+        known = self.state.notice
+        if known is None or notice.version >= known.version:
+            self.state.notice = notice
+
+    def _note_use(self, adapter: str) -> None:
+        self.state.used_at_by_adapter[adapter] = self._clock.elapsed()
+
+    def _answer_model(self, sender: bytes, ask: ModelAsk) -> None:
+        with self._models_lock:
+            self.state.ordering = ask.model
+            self.tell()
+            cause = self._load_model(ask)
+            self.state.ordering = None
+        self._log(
+            'model_ask_ended',
+            model=ask.model,
+            evicted=ask.evict,
+            cause=cause or 'in place',
+            holds=sorted(self.state.engine.models if self.state.engine else ()),
+        )
+        self.tell()
+        self._send(sender, LoadReply(ask.ask_id, not cause, cause))
+
+    def _load_model(self, ask: ModelAsk) -> str:
+        """Load a model; return why it is not in place, or nothing."""
+        notice = self.state.notice
+        engine = self.refresh()
+        if notice is None or engine is None:
+            return 'the engine is not known yet'
+        if ask.model in engine.models:
+            return ''
+        if self._is_cold(ask.model, engine) and not self._pace.is_ready(
+            notice.store_loads_per_second,
+            notice.targets,
+        ):
+            return "this engine's part of the store's pace is spent"
+        for victim in ask.evict:
+            cause = self._unload_model(victim)
+            if cause:
+                return cause
+        engine = self.state.engine or engine
+        if not fits(ask.model, engine, notice):
+            return 'the engine has no room'
+        if self._is_cold(ask.model, engine):
+            self._pace.note_start()
+        if not self._give(OrderKind.LOAD, ask.model, None):
+            return 'the engine did not take the order'
+        return self._await(
+            lambda state: ask.model in state.models and not state.is_busy,
+            MODEL_MOST,
+            ORDER_PERIOD,
+        )
+
+    def _unload_model(self, victim: str) -> str:
+        engine = self.state.engine
+        if engine is None or victim not in engine.models:
+            return ''
+        if not self._give(OrderKind.UNLOAD, victim, None):
+            return f'the engine did not take the order to drop {victim}'
+        return self._await(
+            lambda state: victim not in state.models and not state.is_busy,
+            MODEL_MOST,
+            ORDER_PERIOD,
+        )
+
+    def _answer_adapter(self, sender: bytes, ask: AdapterAsk) -> None:
+        cause = self._load_adapter(ask)
+        self._send(sender, LoadReply(ask.ask_id, not cause, cause))
+
+    def _load_adapter(self, ask: AdapterAsk) -> str:
+        """Load an adapter; return why it is not in place, or nothing."""
+        wanted = f'{ask.model}/{ask.adapter}'
+        self._note_use(wanted)
+        engine = self.state.engine
+        notice = self.state.notice
+        if notice is None or engine is None:
+            return 'the engine is not known yet'
+        if wanted in engine.adapters:
+            return ''
+        with self._orders_lock:
+            engine = self.refresh() or engine
+            if wanted not in engine.adapters | _bare(engine.pending):
+                cause = self._order_adapter(ask, engine, notice)
+                if cause:
+                    return cause
+        cause = self._await(
+            lambda state: wanted in state.adapters,
+            ADAPTER_MOST,
+            ADAPTER_PERIOD,
+        )
+        self.tell()
+        return cause
+
+    def _order_adapter(
+        self,
+        ask: AdapterAsk,
+        engine: EngineState,
+        notice: EngineNotice,
+    ) -> str:
+        if ask.model not in engine.models:
+            return 'the engine does not hold the model'
+        if len(engine.pending) >= ADAPTERS_PENDING_MOST:
+            self._await(
+                lambda state: len(state.pending) < ADAPTERS_PENDING_MOST,
+                ADAPTER_MOST,
+                ADAPTER_PERIOD,
+            )
+            engine = self.state.engine or engine
+        taken = len(engine.adapters) + len(engine.pending)
+        if taken >= notice.adapter_places and not self._drop_adapter(engine):
+            return 'all places for adapters are in use'
+        if self._give(OrderKind.LOAD, ask.model, ask.adapter):
+            return ''
+        return 'the engine did not take the order'
+
+    def _drop_adapter(self, engine: EngineState) -> bool:
+        """Unload the adapter that was used the longest ago."""
+        now = self._clock.elapsed()
+        used_at = self.state.used_at_by_adapter
+        never = timedelta.min
+        oldest = sorted(
+            engine.adapters,
+            key=lambda adapter: (used_at.get(adapter, never), adapter),
+        )
+        for adapter in oldest:
+            if now - used_at.get(adapter, timedelta()) < ADAPTER_REST:
+                continue
+            model, _, name = adapter.partition('/')
+            if self._give(OrderKind.UNLOAD, model, name):
+                used_at.pop(adapter, None)
+                return True
+        return False
+
+    def _give(
+        self,
+        kind: OrderKind,
+        model: str,
+        adapter: str | None,
+    ) -> bool:
+        """Give an order until the engine took it; tell whether it did."""
+        give_up_at = self._clock.elapsed() + ORDER_MOST
+        with self._orders_lock:
+            while self._clock.elapsed() < give_up_at:
+                engine = self.refresh()
+                if engine is not None:
+                    if _is_done(engine, kind, model, adapter):
+                        return True
+                    taken = self._order_once(engine, kind, model, adapter)
+                    if taken is not None:
+                        return taken
+                self._clock.sleep(ANSWER_PAUSE)
+        return False
+
+    def _order_once(
+        self,
+        engine: EngineState,
+        kind: OrderKind,
+        model: str,
+        adapter: str | None,
+    ) -> bool | None:
+        """Order once; None when it must be looked at again."""
+        token = self._fencing_token()
+        target_id = self.state.target_id
+        if token is None or target_id is None:
+            return None
+        order = Order(kind, model, adapter, engine.orders_taken)
+        answer = self._port.order(target_id, token, order)
+        self._log(
+            'order_given',
+            order=kind.value,
+            model=model,
+            adapter=adapter,
+            after_orders=order.after_orders,
+            fencing_token=token,
+            target=target_id,
+            answer=answer.value,
+        )
+        if answer is OrderAnswer.FENCED:
+            self.state.fencing_token = None
+        elif answer is OrderAnswer.OTHER_TARGET:
+            self.state.target_id = None
+        elif answer in {OrderAnswer.ACCEPTED, OrderAnswer.HOLDS}:
+            return True
+        elif answer is OrderAnswer.INVALID:
+            return False
+        elif answer is OrderAnswer.CONFLICT and adapter is not None:
+            return False
+        return None
+
+    def _fencing_token(self) -> int | None:
+        if self.state.fencing_token is None:
+            self.state.fencing_token = self._port.new_fencing_token()
+        return self.state.fencing_token
+
+    def _await(
+        self,
+        condition: Callable[[EngineState], bool],
+        timeout: timedelta,
+        period: timedelta,
+    ) -> str:
+        give_up_at = self._clock.elapsed() + timeout
+        while self._clock.elapsed() < give_up_at:
+            engine = self.refresh()
+            if engine is not None and condition(engine):
+                return ''
+            self._clock.sleep(period)
+        return 'the engine did not finish the order in time'
+
+    def _is_cold(self, model: str, engine: EngineState) -> bool:
+        return model not in engine.on_disk | engine.in_memory
+
+
+def fits(model: str, engine: EngineState, notice: EngineNotice) -> bool:
+    """Tell whether an engine has room for one more model.
+
+    A model whose size is not known takes all the room.
+    """
+    size_by_model = {size.name: size.weights_mb for size in notice.models}
+    taken = sum(
+        size_by_model.get(held, notice.weights_mb)
+        for held in engine.models | _models_of(engine.pending)
+    )
+    wanted = size_by_model.get(model, notice.weights_mb + 1)
+    return taken + wanted <= notice.weights_mb
+
+
+def _models_of(pending: frozenset[str]) -> frozenset[str]:
+    return frozenset(name for name in pending if '/' not in name)
+
+
+def _bare(pending: frozenset[str]) -> frozenset[str]:
+    """Return pending adapters without their versions."""
+    return frozenset(name.partition('@')[0] for name in pending)
+
+
+def _is_done(
+    engine: EngineState,
+    kind: OrderKind,
+    model: str,
+    adapter: str | None,
+) -> bool:
+    held = (
+        model in engine.models
+        if adapter is None
+        else f'{model}/{adapter}' in engine.adapters
+    )
+    return held is (kind is OrderKind.LOAD)
+
+
+def _holding(report: KeeperReport) -> tuple[object, ...]:
+    return (
+        report.target_id,
+        report.models,
+        report.adapters,
+        report.on_disk,
+        report.is_ordering,
+        report.store_loads_ready,
+    )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -0,0 +1,126 @@
+"""Limits of workspaces, held over all gateways by telling what was used.
+
+Load pattern: one workspace sends many times its usual at every gateway at
+once. Each gateway keeps a bucket a workspace, spends from it, and takes off
+what the others tell that they spent. What they spend between two notices is
+the overshoot. A gateway that hears nothing of another leaves that one's
+equal part of the rate alone, so two sides of a partition together stay
+within one rate.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from verbenamux_relay.catalog import Workspace
+
+# A gateway not heard for this long may be spending unseen.
+SILENCE_MOST = timedelta(milliseconds=700)
+# For this long after its last notice a silent gateway keeps its part.
+RESERVED_FOR = timedelta(seconds=20)
+
+Elapsed = Callable[[], timedelta]
+
+
+@dataclass(slots=True)
+class _Bucket:
+    level: float
+    filled_at: timedelta
+
+
+@dataclass(slots=True)
+class _Peer:
+    heard_at: timedelta
+    spent_by_workspace: dict[str, float]
+
+
+class Allowance:
+    """This gateway's view of every workspace's bucket."""
+
+    def __init__(self, elapsed: Elapsed) -> None:
+        """Start with full buckets; `elapsed` counts through suspensions."""
+        self._elapsed = elapsed
+        self._bucket_by_workspace: dict[str, _Bucket] = {}
+        self._peers_by_name: dict[str, _Peer] = {}
+        self.spent_by_workspace: dict[str, float] = {}
+
+    def take(self, workspace: Workspace, cost: float) -> timedelta | None:
+        """Spend, or return after what time the cost would be covered."""
+        if not workspace.per_second:
+            return None
+        bucket = self._fill(workspace)
+        if bucket.level < cost and bucket.level < workspace.burst:
+            lacking = min(cost, workspace.burst) - bucket.level
+            return timedelta(
+                seconds=max(lacking, 0) / self._rate(workspace),
+            )
+        bucket.level -= cost
+        self._add_spent(workspace.name, cost)
+        return None
+
+    def refund(self, workspace: Workspace, cost: float) -> None:
+        """Give back the cost of a request that did not run."""
+        if not workspace.per_second:
+            return
+        bucket = self._fill(workspace)
+        bucket.level = min(bucket.level + cost, workspace.burst)
+        self._add_spent(workspace.name, -cost)
+
+    def hear(
+        self,
+        sender: str,
+        spent_by_workspace: dict[str, float],
+        workspaces_by_name: dict[str, Workspace],
+    ) -> None:
+        """Take off what another gateway spent since its last notice.
+
+        `sender` names one run of a gateway: its sums start at zero.
+        """
+        now = self._elapsed()
+        known = self._peers_by_name.get(sender)
+        before = known.spent_by_workspace if known else {}
+        self._peers_by_name[sender] = _Peer(now, spent_by_workspace)
+        for name, spent in spent_by_workspace.items():
+            workspace = workspaces_by_name.get(name)
+            if workspace is not None and workspace.per_second:
+                self._fill(workspace).level -= spent - before.get(name, 0)
+
+    def silent_peers(self) -> int:
+        """Return how many gateways may be spending unseen."""
+        now = self._elapsed()
+        return sum(
+            SILENCE_MOST < now - peer.heard_at < RESERVED_FOR
+            for peer in self._peers_by_name.values()
+        )
+
+    def forget(self, senders: Iterable[str]) -> None:
+        """Drop gateways that are known to have ended."""
+        for sender in senders:
+            self._peers_by_name.pop(sender, None)
+
+    def _rate(self, workspace: Workspace) -> float:
+        now = self._elapsed()
+        recent = sum(
+            now - peer.heard_at < RESERVED_FOR
+            for peer in self._peers_by_name.values()
+        )
+        part = 1 - self.silent_peers() / (recent + 1)
+        return workspace.per_second * part
+
+    def _fill(self, workspace: Workspace) -> _Bucket:
+        now = self._elapsed()
+        bucket = self._bucket_by_workspace.get(workspace.name)
+        if bucket is None:
+            bucket = _Bucket(workspace.burst, now)
+            self._bucket_by_workspace[workspace.name] = bucket
+        gained = (now - bucket.filled_at).total_seconds()
+        bucket.filled_at = now
+        bucket.level = min(
+            bucket.level + gained * self._rate(workspace),
+            workspace.burst,
+        )
+        return bucket
+
+    def _add_spent(self, workspace: str, cost: float) -> None:
+        spent = self.spent_by_workspace.get(workspace, 0)
+        self.spent_by_workspace[workspace] = spent + cost
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/catalog.py
@@ -0,0 +1,165 @@
+"""One whole version of the configuration, as a relaying gateway needs it."""
+
+import enum
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAMING = 'streaming'
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service's part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of a host and path prefix go, and on what terms.
+
+    `priority` ranks from 0, the most urgent. `objective` is the time to the
+    answer, or to a stream's first event, that callers hope for.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout: timedelta
+    objective: timedelta
+    shares: tuple[Share, ...]
+    priority: int = 0
+    attempts_most: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAMING and self.is_resumable
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ModelTerms:
+    """A model's size, and how long its weights take to load.
+
+    `cold_load` is from the weight store, `disk_load` and `warm_load` from
+    copies on the target's disk and in its memory.
+    """
+
+    name: str
+    weights_mb: float
+    cold_load: timedelta
+    disk_load: timedelta
+    warm_load: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTerms:
+    """What every engine of a service can hold and do."""
+
+    slots: int
+    memory_tokens: int
+    weights_mb: float
+    adapter_places: int
+    store_loads_per_second: float
+    models_by_name: dict[str, ModelTerms]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of targets that answer the same requests."""
+
+    name: str
+    health_path: str
+    connections_most: int
+    engine: EngineTerms | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Who calls, with its keys and its limit of tokens or requests.
+
+    `per_second` of 0 means no limit. `plain_cost` is what a request counts
+    that names no token numbers.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    per_second: float = 0
+    burst: float = 0
+    counts_tokens: bool = False
+    plain_cost: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take or be idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_time: timedelta = timedelta(seconds=3)
+    idle_time: timedelta = timedelta(seconds=15)
+
+
+@dataclass(frozen=True, slots=True)
+class Catalog:
+    """All routes, services and workspaces of one version.
+
+    Routes of a host are ordered with the longest prefix first.
+    """
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    services_by_name: dict[str, Service]
+    workspaces_by_key: dict[str, Workspace] = field(default_factory=dict)
+    has_workspaces: bool = False
+    limits: CallerLimits = CallerLimits()
+
+    def route_for(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        bare_host = host.partition(':')[0].lower()
+        path = target.partition('?')[0]
+        for route in self.routes_by_host.get(bare_host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def workspaces(self) -> dict[str, Workspace]:
+        """Return the workspaces by name."""
+        return {
+            workspace.name: workspace
+            for workspace in self.workspaces_by_key.values()
+        }
+
+
+def routes_by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Group routes by host, with the longest prefix first."""
+    grouped: dict[str, list[Route]] = {}
+    for route in routes:
+        grouped.setdefault(route.host.lower(), []).append(route)
+    return {
+        host: tuple(sorted(rows, key=lambda row: -len(row.prefix)))
+        for host, rows in grouped.items()
+    }
+
+
+def pick_share(shares: tuple[Share, ...], draw: float) -> str:
+    """Return a service by weight; `draw` is uniform in [0, 1)."""
+    left = draw * sum(share.weight for share in shares)
+    for share in shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -0,0 +1,87 @@
+"""Choosing a target by the predicted time to its first event.
+
+Load pattern: long shared prompts, a few busy models and many rare ones, and
+targets that fill up unevenly. A prompt part that a target keeps saves its
+reading; waiting there costs. Without word of each other, all gateways send
+a prompt to the same target first, by rendezvous hashing, and to the next
+one only when the wait outweighs reading the prompt anew.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+# Cost of a target's rate of failures: at a rate of one, this long.
+FAILURE_PENALTY = timedelta(seconds=3)
+# An adapter that must be loaded first, with the message to the keeper.
+ADAPTER_LOAD = timedelta(milliseconds=25)
+# What sending to another data centre costs against an equal local target.
+REMOTE_PENALTY = timedelta(milliseconds=15)
+# Wait at a target whose memory of tokens is full, a token over.
+FULL_MEMORY_WAIT = timedelta(milliseconds=0.02)
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One target as a candidate for a request.
+
+    `waiting_tokens` are prompt tokens to be read before this request's own
+    `missing_tokens`; `tokens_per_second` is how fast it reads them.
+    `overflow_tokens` is what would not fit its memory.
+    """
+
+    target_id: str
+    is_local: bool
+    waiting_tokens: float
+    missing_tokens: int
+    tokens_per_second: float
+    lacks_adapter: bool = False
+    overflow_tokens: int = 0
+    failure_rate: float = 0
+    busy_share: float = 0
+
+
+def predict(option: Option) -> timedelta:
+    """Return the predicted time to the first event."""
+    tokens = option.waiting_tokens + option.missing_tokens
+    predicted = timedelta(seconds=tokens / option.tokens_per_second)
+    if option.lacks_adapter:
+        predicted += ADAPTER_LOAD
+    return predicted + FULL_MEMORY_WAIT * max(option.overflow_tokens, 0)
+
+
+def cost(option: Option) -> timedelta:
+    """Return the prediction with what else speaks against a target."""
+    total = predict(option) + FAILURE_PENALTY * option.failure_rate
+    if not option.is_local:
+        total += REMOTE_PENALTY
+    return total + REMOTE_PENALTY * option.busy_share
+
+
+def choose(options: Iterable[Option], affinity: str) -> Option | None:
+    """Return the cheapest option; equal ones go by rendezvous hashing."""
+    return min(
+        options,
+        key=lambda option: (
+            cost(option),
+            -rendezvous_weight(affinity, option.target_id),
+        ),
+        default=None,
+    )
+
+
+def rendezvous_weight(affinity: str, target_id: str) -> int:
+    """Return the same rank for a pair on every gateway."""
+    material = f'{affinity}\0{target_id}'.encode()
+    digest = hashlib.blake2b(material, digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def preferred(affinity: str, target_ids: Iterable[str]) -> str | None:
+    """Return the target that all gateways send an affinity to first."""
+    return max(
+        target_ids,
+        key=lambda target_id: rendezvous_weight(affinity, target_id),
+        default=None,
+    )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/demand.py
@@ -0,0 +1,101 @@
+"""How much each model is wanted, over all gateways."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from math import exp
+
+from verbenamux_contracts.messages import UsageNotice
+from verbenamux_relay.placing import Demand
+
+# How fast what was asked for is forgotten: a model asked for once weighs
+# less than half of it after this time.
+MEMORY = timedelta(seconds=6)
+# A gateway not heard for this long counts for nothing in flight.
+SILENCE_MOST = timedelta(seconds=2)
+
+
+@dataclass(slots=True)
+class _Peer:
+    heard_at: timedelta
+    in_flight: dict[str, int]
+    asked: dict[str, int]
+
+
+class DemandMeter:
+    """Counts requests by model, of this gateway and as others tell."""
+
+    def __init__(self, elapsed: Callable[[], timedelta]) -> None:
+        """Start with no demand."""
+        self.asked_by_model: Counter[str] = Counter()
+        self.waiting_by_model: Counter[str] = Counter()
+        self._elapsed = elapsed
+        self._recent_by_model: dict[str, float] = {}
+        self._decayed_at = elapsed()
+        self._peers_by_instance: dict[str, _Peer] = {}
+
+    def note_asked(self, model: str) -> None:
+        """Count a request for a model."""
+        self.asked_by_model[model] += 1
+        self._add_recent(model, 1)
+
+    def begin(self, model: str) -> None:
+        """Count a request as in flight."""
+        self.waiting_by_model[model] += 1
+
+    def end(self, model: str) -> None:
+        """Count a request as ended."""
+        self.waiting_by_model[model] -= 1
+
+    def own_in_flight(self) -> dict[str, int]:
+        """Return this gateway's requests in flight, by model."""
+        return {
+            model: waiting
+            for model, waiting in self.waiting_by_model.items()
+            if waiting > 0
+        }
+
+    def hear(self, notice: UsageNotice) -> None:
+        """Take in another gateway's counts."""
+        known = self._peers_by_instance.get(notice.instance)
+        before = known.asked if known else notice.asked
+        for model, asked in notice.asked.items():
+            self._add_recent(model, asked - before.get(model, 0))
+        self._peers_by_instance[notice.instance] = _Peer(
+            self._elapsed(),
+            notice.in_flight,
+            notice.asked,
+        )
+
+    def current(self) -> Demand:
+        """Return the demand of all gateways that were heard lately."""
+        now = self._elapsed()
+        in_flight = Counter(self.own_in_flight())
+        for instance, peer in tuple(self._peers_by_instance.items()):
+            if now - peer.heard_at < SILENCE_MOST:
+                in_flight.update(peer.in_flight)
+            elif now - peer.heard_at > MEMORY:
+                self._peers_by_instance.pop(instance)
+        self._decay()
+        seconds = MEMORY.total_seconds()
+        return Demand(
+            in_flight_by_model=dict(in_flight),
+            recent_by_model={
+                model: recent / seconds
+                for model, recent in self._recent_by_model.items()
+            },
+        )
+
+    def _add_recent(self, model: str, asked: int) -> None:
+        self._decay()
+        recent = self._recent_by_model.get(model, 0)
+        self._recent_by_model[model] = recent + asked
+
+    def _decay(self) -> None:
+        now = self._elapsed()
+        passed = now - self._decayed_at
+        self._decayed_at = now
+        kept = exp(-(passed / MEMORY))
+        for model in self._recent_by_model:
+            self._recent_by_model[model] *= kept
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -0,0 +1,363 @@
+"""A relaying gateway: what it believes, whom it tells, and its tasks."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import partial
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.messages import (
+    AnyMessage,
+    EngineNotice,
+    KeeperHello,
+    KeeperReport,
+    ModelSize,
+    UsageNotice,
+)
+from verbenamux_relay.allowance import Allowance
+from verbenamux_relay.catalog import Catalog, EngineTerms
+from verbenamux_relay.demand import DemandMeter
+from verbenamux_relay.loading import Loader
+from verbenamux_relay.picking import Beliefs, holdings, is_serving
+from verbenamux_relay.placing import Demand, Move, plan
+from verbenamux_relay.relaying import Knowledge
+from verbenamux_relay.repeats import RepeatBudget
+from verbenamux_relay.targets import Target, TargetEntry, TargetReport
+from verbenamux_runtime.metrics import Metrics
+from verbenamux_runtime.peers import PeerLink, PeerServer
+
+# Gateways tell each other what they spent this often, in a small fleet.
+USAGE_PERIOD = timedelta(milliseconds=150)
+# From this many peers on, notices are sent less often in proportion.
+USAGE_PEERS = 8
+# The planner looks for better places this often.
+PLAN_PERIOD = timedelta(milliseconds=400)
+# Keepers hear again what their engine may hold this often.
+ENGINE_PERIOD = timedelta(seconds=2)
+# A peer not heard for this long is not counted as planning.
+PLANNER_SILENCE = timedelta(seconds=1)
+# Removed targets are kept this long for answers still under way.
+REMOVED_KEPT = timedelta(seconds=10)
+# Only so many moves are under way at once, in parts of the targets.
+MOVES_PART = 3
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySetup:
+    """Where a gateway stands, and the bounds that it keeps.
+
+    `key_trust` is how long keys count without word from the store.
+    """
+
+    name: str
+    instance: InstanceId
+    peer_address: str
+    keeper_port: int
+    key_trust: timedelta
+    repeat_window: timedelta
+    repeat_ratio: float
+    repeat_extra: float
+
+
+class RelayGateway:
+    """Beliefs of one gateway, fed by the platform, peers and keepers."""
+
+    def __init__(
+        self,
+        setup: GatewaySetup,
+        clock: Clock,
+        beliefs: Beliefs,
+        metrics: Metrics,
+        log: Callable[..., None],
+    ) -> None:
+        """Start with nothing known."""
+        self.setup = setup
+        self.beliefs = beliefs
+        self.metrics = metrics
+        self.allowance = Allowance(clock.elapsed)
+        self.demand = DemandMeter(clock.elapsed)
+        self.loader = Loader(
+            book=beliefs.book,
+            link_of=self._keeper_link,
+            clock=clock,
+            log=log,
+            demand=self._current_demand,
+        )
+        self.server = PeerServer(setup.peer_address, self._hear)
+        self._clock = clock
+        self._log = log
+        self._catalog: Catalog | None = None
+        self._confirmed_at: timedelta | None = None
+        self._keepers_by_host: dict[str, PeerLink] = {}
+        self._peers_by_address: dict[str, PeerLink] = {}
+        self._heard_by_peer: dict[str, timedelta] = {}
+        self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._moving: set[str] = set()
+        self.is_stopping = False
+
+    def adopt(self, catalog: Catalog) -> None:
+        """Take in a configuration, unless a newer one is known."""
+        if self._catalog is not None and (
+            catalog.version <= self._catalog.version
+        ):
+            return
+        self._catalog = catalog
+        self._log(
+            'catalog_adopted',
+            version=catalog.version,
+            routes=sum(map(len, catalog.routes_by_host.values())),
+            keys=len(catalog.workspaces_by_key),
+        )
+        for target in tuple(self.beliefs.book.by_id.values()):
+            self._follow_keeper(target)
+
+    def confirm(self, asked_at: timedelta) -> None:
+        """Note that the configuration was the newest at a moment."""
+        if self._confirmed_at is None or asked_at > self._confirmed_at:
+            self._confirmed_at = asked_at
+
+    def knowledge(self) -> Knowledge:
+        """Return the configuration and how sure it is."""
+        confirmed_for = (
+            timedelta.max
+            if self._confirmed_at is None
+            else self._clock.elapsed() - self._confirmed_at
+        )
+        return Knowledge(
+            self._catalog,
+            confirmed_for,
+            is_key_trusted=confirmed_for < self.setup.key_trust,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return (
+            not self.is_stopping
+            and self._catalog is not None
+            and bool(self.beliefs.book.by_id)
+        )
+
+    def put_target(self, entry: TargetEntry) -> None:
+        """Take in a registry entry."""
+        is_new = self.beliefs.book.put(entry)
+        target = self.beliefs.book.by_id[entry.target_id]
+        if is_new:
+            self._log(
+                'target_found',
+                target=entry.target_id,
+                service=entry.service,
+                draining=entry.is_draining,
+            )
+        if target.report is None:
+            target.absent_models.clear()
+        self._follow_keeper(target)
+        self.loader.note_change()
+
+    def remove_target(self, target_id: str) -> None:
+        """Note that the registry dropped a target."""
+        self.beliefs.book.mark_removed(target_id, self._clock.elapsed())
+        self._log('target_removed', target=target_id)
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """Keep a link to every other gateway."""
+        wanted = set(addresses) - {self.setup.peer_address}
+        for address in wanted - self._peers_by_address.keys():
+            self._peers_by_address[address] = PeerLink(
+                address,
+                f'{self.setup.instance}>{address}',
+                self._ignore,
+            )
+
+    def budget_of(self, service: str) -> RepeatBudget:
+        """Return this gateway's budget of repeats for a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RepeatBudget(
+                self._clock.elapsed,
+                self.setup.repeat_window,
+                self.setup.repeat_ratio,
+                0,
+            )
+            self._budget_by_service[service] = budget
+        budget.extra = self.setup.repeat_extra / (
+            len(self._peers_by_address) + 1
+        )
+        return budget
+
+    def tell_usage(self) -> None:
+        """Tell the other gateways what was spent and is in flight."""
+        notice = UsageNotice(
+            sender=self.setup.name,
+            instance=self.setup.instance,
+            spent=dict(self.allowance.spent_by_workspace),
+            in_flight=self.demand.own_in_flight(),
+            asked=dict(self.demand.asked_by_model),
+            leaving=self.is_stopping,
+        )
+        for link in self._peers_by_address.values():
+            link.send(notice)
+
+    def usage_period(self) -> timedelta:
+        """Return how often to tell usage, by the number of peers."""
+        peers = len(self._peers_by_address)
+        return USAGE_PERIOD * max(1, peers / USAGE_PEERS)
+
+    def tell_engines(self) -> None:
+        """Tell keepers what their engines may hold."""
+        for target in tuple(self.beliefs.book.by_id.values()):
+            engine = self._engine_of(target.entry.service)
+            link = self._keeper_link(target.entry.target_id)
+            if engine is not None and link is not None:
+                link.send(KeeperHello(self.setup.instance))
+                link.send(self._engine_notice(target, engine))
+
+    def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
+        """Start the moves that bring models nearer to demand.
+
+        Only the first living gateway by name plans; `run` starts a task.
+        """
+        if not self._is_planner() or self._catalog is None:
+            return
+        now = self._clock.elapsed()
+        for service in self._catalog.services_by_name.values():
+            if service.engine is None:
+                continue
+            places = tuple(holdings(self.beliefs.book, service.name, now))
+            most = max(len(places) // MOVES_PART, 1)
+            moves = plan(places, service.engine, self._current_demand())
+            for move in moves:
+                if len(self._moving) >= most:
+                    break
+                if move.target_id not in self._moving:
+                    self._moving.add(move.target_id)
+                    run(partial(self._carry_out, move))
+
+    def sweep(self) -> None:
+        """Forget targets that ended and connections that idled out."""
+        now = self._clock.elapsed()
+        for target_id, target in tuple(self.beliefs.book.by_id.items()):
+            removed_at = target.removed_at
+            if removed_at is None or now - removed_at < REMOVED_KEPT:
+                continue
+            if not target.in_flight:
+                self.beliefs.book.forget(target_id)
+                self.beliefs.prompts.forget(target_id)
+        hosts = {
+            target.entry.address[0]
+            for target in self.beliefs.book.by_id.values()
+        }
+        for host in self._keepers_by_host.keys() - hosts:
+            self._keepers_by_host.pop(host).close()
+
+    def _carry_out(self, move: Move) -> None:
+        try:
+            self.loader.carry_out(move)
+        finally:
+            self._moving.discard(move.target_id)
+
+    def _is_planner(self) -> bool:
+        now = self._clock.elapsed()
+        living = [
+            name
+            for name, heard_at in self._heard_by_peer.items()
+            if now - heard_at < PLANNER_SILENCE
+        ]
+        return not self.is_stopping and all(
+            self.setup.name < name for name in living
+        )
+
+    def _current_demand(self) -> Demand:
+        return self.demand.current()
+
+    def _engine_of(self, service: str) -> EngineTerms | None:
+        if self._catalog is None:
+            return None
+        known = self._catalog.services_by_name.get(service)
+        return known.engine if known else None
+
+    def _engine_notice(
+        self,
+        target: Target,
+        engine: EngineTerms,
+    ) -> EngineNotice:
+        now = self._clock.elapsed()
+        siblings = self.beliefs.book.of_service(target.entry.service)
+        return EngineNotice(
+            version=self._catalog.version if self._catalog else 0,
+            models=tuple(
+                ModelSize(model.name, model.weights_mb)
+                for model in engine.models_by_name.values()
+            ),
+            weights_mb=engine.weights_mb,
+            adapter_places=engine.adapter_places,
+            store_loads_per_second=engine.store_loads_per_second,
+            targets=sum(is_serving(sibling, now) for sibling in siblings),
+        )
+
+    def _follow_keeper(self, target: Target) -> None:
+        engine = self._engine_of(target.entry.service)
+        host = target.entry.address[0]
+        if engine is None or host in self._keepers_by_host:
+            return
+        link = PeerLink(
+            f'{host}:{self.setup.keeper_port}',
+            f'{self.setup.instance}>{host}',
+            self._hear_keeper,
+        )
+        self._keepers_by_host[host] = link
+        link.send(KeeperHello(self.setup.instance))
+        link.send(self._engine_notice(target, engine))
+
+    def _keeper_link(self, target_id: str) -> PeerLink | None:
+        target = self.beliefs.book.by_id.get(target_id)
+        if target is None:
+            return None
+        return self._keepers_by_host.get(target.entry.address[0])
+
+    def _hear_keeper(self, message: AnyMessage) -> None:
+        if not isinstance(message, KeeperReport):
+            return
+        target = self.beliefs.book.by_id.get(message.target_id)
+        if target is None:
+            return
+        now = self._clock.elapsed()
+        before = target.models
+        target.report = _decode_report(message, now)
+        target.heard_at = now
+        for model in before - target.report.models:
+            self.beliefs.prompts.forget_model(message.target_id, model)
+        self.loader.note_change()
+
+    def _hear(self, _sender: bytes, message: AnyMessage) -> None:
+        if not isinstance(message, UsageNotice):
+            return
+        workspaces = self._catalog.workspaces() if self._catalog else {}
+        self.allowance.hear(message.instance, message.spent, workspaces)
+        self.demand.hear(message)
+        if message.leaving:
+            self._heard_by_peer.pop(message.sender, None)
+            self.allowance.forget((message.instance,))
+        else:
+            self._heard_by_peer[message.sender] = self._clock.elapsed()
+
+    def _ignore(self, message: AnyMessage) -> None:
+        """Usage notices are not answered."""
+
+
+def _decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
+    return TargetReport(
+        target_id=message.target_id,
+        received_at=now,
+        models=frozenset(message.models),
+        adapters=frozenset(message.adapters),
+        pending=frozenset(message.pending),
+        on_disk=frozenset(message.on_disk),
+        in_memory=frozenset(message.in_memory),
+        queued=message.queued,
+        active=message.active,
+        used_tokens=message.used_tokens,
+        total_tokens=message.total_tokens,
+        is_ordering=message.is_ordering,
+        store_loads_ready=message.store_loads_ready,
+    )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -0,0 +1,133 @@
+"""Getting models and adapters into place, through the keepers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import gevent
+from gevent.event import Event
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import new_request_id
+from verbenamux_contracts.messages import (
+    AdapterAsk,
+    AdapterUse,
+    LoadReply,
+    ModelAsk,
+)
+from verbenamux_relay.catalog import Service
+from verbenamux_relay.picking import holdings
+from verbenamux_relay.placing import Demand, Move, place
+from verbenamux_relay.targets import Target, TargetBook
+from verbenamux_runtime.peers import PeerLink
+
+# How long a keeper may take for an adapter before another target is tried.
+ADAPTER_MOST = timedelta(milliseconds=400)
+# How long a keeper may take for a model, loads from a busy store included.
+MODEL_MOST = timedelta(seconds=12)
+# Pause between two looks for a target that can take a model.
+RETRY_PAUSE = timedelta(milliseconds=60)
+
+LinkOf = Callable[[str], PeerLink | None]
+LogLine = Callable[..., None]
+
+
+@dataclass(slots=True)
+class Loader:
+    """Loads on demand; one task a model asks, any number wait for it."""
+
+    book: TargetBook
+    link_of: LinkOf
+    clock: Clock
+    log: LogLine
+    demand: Callable[[], Demand]
+    _changed: Event = field(default_factory=Event)
+    _asking: set[str] = field(default_factory=set)
+
+    def note_change(self) -> None:
+        """Wake up those who wait for a model, since holdings changed."""
+        self._changed.set()
+        self._changed.clear()
+
+    def await_model(
+        self,
+        service: Service,
+        model: str,
+        timeout: timedelta,
+    ) -> None:
+        """Ask for a model if nobody does, and wait for news of holdings."""
+        if model not in self._asking:
+            self._asking.add(model)
+            gevent.spawn(self._load_somewhere, service, model)
+        self._changed.wait(timeout.total_seconds())
+
+    def load_adapter(self, target: Target, model: str, adapter: str) -> bool:
+        """Have an adapter loaded at a target; tell whether it is."""
+        link = self.link_of(target.entry.target_id)
+        if link is None:
+            return False
+        ask_id = new_request_id()
+        reply = link.ask(
+            ask_id,
+            AdapterAsk(ask_id, model, adapter),
+            ADAPTER_MOST,
+        )
+        in_place = isinstance(reply, LoadReply) and reply.in_place
+        if not in_place:
+            cause = reply.cause if isinstance(reply, LoadReply) else 'silent'
+            self.log(
+                'adapter_not_loaded',
+                target=target.entry.target_id,
+                adapter=f'{model}/{adapter}',
+                cause=cause,
+            )
+        return in_place
+
+    def note_adapter_use(self, target: Target, model: str, adapter: str) -> None:
+        """Tell a keeper that an adapter is in use."""
+        link = self.link_of(target.entry.target_id)
+        if link is not None:
+            link.send(AdapterUse(model, adapter))
+
+    def carry_out(self, move: Move) -> bool:
+        """Ask a keeper for a move; tell whether the model is in place."""
+        link = self.link_of(move.target_id)
+        if link is None:
+            return False
+        ask_id = new_request_id()
+        reply = link.ask(
+            ask_id,
+            ModelAsk(ask_id, move.model, move.evict),
+            MODEL_MOST,
+        )
+        in_place = isinstance(reply, LoadReply) and reply.in_place
+        self.log(
+            'model_move',
+            target=move.target_id,
+            model=move.model,
+            evicted=move.evict,
+            in_place=in_place,
+            cause=reply.cause if isinstance(reply, LoadReply) else 'silent',
+        )
+        return in_place
+
+    def _load_somewhere(self, service: Service, model: str) -> None:
+        try:
+            self._ask_best(service, model)
+        finally:
+            self._asking.discard(model)
+            self.note_change()
+
+    def _ask_best(self, service: Service, model: str) -> None:
+        engine = service.engine
+        if engine is None:
+            return
+        now = self.clock.elapsed()
+        places = tuple(holdings(self.book, service.name, now))
+        loading = [place_ for place_ in places if place_.loading == model]
+        if loading:
+            self.clock.sleep(RETRY_PAUSE)
+            return
+        move = place(model, places, engine, self.demand())
+        if move is None or not self.carry_out(move):
+            self.clock.sleep(RETRY_PAUSE)
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -0,0 +1,226 @@
+"""Turning beliefs about targets into a choice for one request."""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from verbenamux_relay.catalog import EngineTerms, Service
+from verbenamux_relay.choosing import Option, choose, preferred
+from verbenamux_relay.dialect import RequestTerms
+from verbenamux_relay.placing import Holding
+from verbenamux_relay.prompts import PromptMemory, affinity
+from verbenamux_relay.targets import Target, TargetBook
+
+# Prompt tokens taken for a waiting request of which nothing else is known.
+TYPICAL_TOKENS = 2500
+# Tokens an engine reads a second before any was observed.
+TYPICAL_PACE = 38000.0
+# Bounds of the learned pace, in tokens a second.
+PACE_LEAST = 4000.0
+PACE_MOST = 1_000_000.0
+PACE_WEIGHT = 0.1
+# Work of a plain request before any was observed.
+TYPICAL_WORK = timedelta(milliseconds=80)
+# A removed entry may come back for so long if its target still answers.
+REMOVED_GRACE = timedelta(milliseconds=1500)
+# A target heard within this time counts as alive.
+HEARD_LATELY = timedelta(milliseconds=1200)
+
+
+class Lack(enum.Enum):
+    """Why no target can take a request now."""
+
+    TARGET = 'no_target'
+    MODEL = 'model_not_in_place'
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A request that wants a target."""
+
+    service: Service
+    terms: RequestTerms
+    excluded: frozenset[str] = frozenset()
+
+
+class PaceBook:
+    """How fast each model's engines read prompts, as learned."""
+
+    def __init__(self) -> None:
+        """Start from the typical pace."""
+        self._pace_by_model: dict[str, float] = {}
+
+    def of(self, model: str | None) -> float:
+        """Return tokens a second."""
+        return self._pace_by_model.get(model or '', TYPICAL_PACE)
+
+    def learn(
+        self,
+        model: str | None,
+        tokens: int,
+        took: timedelta,
+    ) -> None:
+        """Take in a prompt that was read without waiting."""
+        seconds = took.total_seconds()
+        if model is None or seconds <= 0:
+            return
+        seen = min(max(tokens / seconds, PACE_LEAST), PACE_MOST)
+        known = self.of(model)
+        self._pace_by_model[model] = known + (seen - known) * PACE_WEIGHT
+
+
+@dataclass(frozen=True, slots=True)
+class Beliefs:
+    """What a choice is made from."""
+
+    book: TargetBook
+    prompts: PromptMemory
+    paces: PaceBook
+    data_centre: str
+
+
+def is_serving(target: Target, now: timedelta) -> bool:
+    """Tell whether the registry lets a target get new requests.
+
+    An entry that was just removed may come back, if its target answers.
+    """
+    if target.entry.is_draining:
+        return False
+    if target.removed_at is None:
+        return True
+    return (
+        now - target.removed_at < REMOVED_GRACE
+        and now - target.heard_at < HEARD_LATELY
+    )
+
+
+def pick(
+    query: Query,
+    beliefs: Beliefs,
+    now: timedelta,
+) -> Option | Lack:
+    """Return the best target for a request, or what is lacking."""
+    serving = [
+        target
+        for target in beliefs.book.of_service(query.service.name)
+        if is_serving(target, now)
+        and target.entry.target_id not in query.excluded
+    ]
+    if not serving:
+        return Lack.TARGET
+    able = serving
+    model = query.terms.model
+    if query.service.engine is not None and model is not None:
+        able = [
+            target
+            for target in serving
+            if model in target.models and _may_hold_adapter(target, query.terms)
+        ]
+    if not able:
+        return Lack.MODEL
+    reachable = [target for target in able if target.paused_until <= now]
+    affinity_key = affinity(query.terms)
+    first = preferred(
+        affinity_key,
+        (target.entry.target_id for target in reachable or able),
+    )
+    options = (
+        _option(target, query, beliefs, now, first)
+        for target in reachable or able
+    )
+    return choose(options, affinity_key) or Lack.TARGET
+
+
+def holdings(
+    book: TargetBook,
+    service: str,
+    now: timedelta,
+) -> Iterator[Holding]:
+    """Yield the targets of a service that a keeper reports on."""
+    for target in book.of_service(service):
+        report = target.report
+        if report is None or not is_serving(target, now):
+            continue
+        loading = next(
+            (name for name in report.pending if '/' not in name),
+            None,
+        )
+        yield Holding(
+            target_id=target.entry.target_id,
+            models=report.models,
+            on_disk=report.on_disk,
+            in_memory=report.in_memory,
+            loading=loading or ('?' if report.is_ordering else None),
+            may_load_cold=report.store_loads_ready,
+        )
+
+
+def _may_hold_adapter(target: Target, terms: RequestTerms) -> bool:
+    return terms.adapter is None or target.report is not None
+
+
+def _option(
+    target: Target,
+    query: Query,
+    beliefs: Beliefs,
+    now: timedelta,
+    first: str | None,
+) -> Option:
+    entry = target.entry
+    engine = query.service.engine
+    is_local = entry.data_centre == beliefs.data_centre
+    if engine is None:
+        return _plain_option(target, is_local, now)
+    missing = beliefs.prompts.missing(
+        entry.target_id,
+        query.terms,
+        is_preferred=entry.target_id == first,
+    )
+    mine = sum(not sent.is_started for sent in target.in_flight.values())
+    others = max(target.waiting(now) - mine, 0)
+    return Option(
+        target_id=entry.target_id,
+        is_local=is_local,
+        waiting_tokens=target.unstarted_tokens() + others * TYPICAL_TOKENS,
+        missing_tokens=missing,
+        tokens_per_second=beliefs.paces.of(query.terms.model),
+        lacks_adapter=not target.holds(query.terms.model, query.terms.adapter),
+        overflow_tokens=_overflow(target, query.terms, engine),
+        failure_rate=target.failure_rate,
+        busy_share=target.running(now) / max(entry.slots, 1),
+    )
+
+
+def _overflow(target: Target, terms: RequestTerms, engine: EngineTerms) -> int:
+    report = target.report
+    if report is None:
+        return 0
+    unread = sum(
+        sent.total_tokens
+        for sent in target.in_flight.values()
+        if not sent.is_started
+    )
+    total = report.total_tokens or engine.memory_tokens
+    wanted = terms.prompt_tokens + terms.output_tokens
+    return max(report.used_tokens + unread + wanted - total, 0)
+
+
+def _plain_option(target: Target, is_local: bool, now: timedelta) -> Option:
+    """Reckon a plain service in milliseconds of work instead of tokens."""
+    slots = max(target.entry.slots, 1)
+    work = int(TYPICAL_WORK / timedelta(milliseconds=1))
+    present = max(
+        len(target.in_flight),
+        target.running(now) + target.waiting(now),
+    )
+    queue = max(present + 1 - slots, 0)
+    return Option(
+        target_id=target.entry.target_id,
+        is_local=is_local,
+        waiting_tokens=queue * work / slots,
+        missing_tokens=work,
+        tokens_per_second=timedelta(seconds=1) / timedelta(milliseconds=1),
+        failure_rate=target.failure_rate,
+        busy_share=present / slots,
+    )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -0,0 +1,228 @@
+"""Deciding which target loads a model, and what makes way for it.
+
+Load patterns: a rare model is asked for that no target holds; the demand of
+busy models moves on to others within seconds; a target with many models is
+lost. A model's value at a target is its requests in flight for each copy, so
+copies follow the work that waits, whatever a model's speed.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from verbenamux_relay.catalog import EngineTerms, ModelTerms
+from verbenamux_relay.choosing import rendezvous_weight
+
+# A copy is added only where it relieves this many requests in flight.
+RELIEF_LEAST = 3.0
+# A victim's value must be below the newcomer's by this factor.
+HYSTERESIS = 2.0
+# What the only copy of a model that is asked for counts against others.
+LAST_COPY_FACTOR = 3.0
+# Loss that one request in flight at an evicted copy stands for.
+VALUE_TIME = timedelta(seconds=1)
+# A load from the weight store counts this much more than its time.
+STORE_LOAD_PENALTY = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A target as a place for models.
+
+    `may_load_cold` is false while its part of the weight store's pace is
+    spent; `loading` names the model that it is loading now.
+    """
+
+    target_id: str
+    models: frozenset[str]
+    on_disk: frozenset[str] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    loading: str | None = None
+    may_load_cold: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A model to load at a target once others have made way."""
+
+    target_id: str
+    model: str
+    evict: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Requests in flight and lately asked for, by model.
+
+    `in_flight_by_model` covers all gateways. `recent_by_model` is the rate
+    at which each was asked for lately, a second.
+    """
+
+    in_flight_by_model: Mapping[str, float]
+    recent_by_model: Mapping[str, float]
+
+    def weight(self, model: str) -> float:
+        """Return how much a model is wanted, in requests."""
+        return self.in_flight_by_model.get(
+            model,
+            0,
+        ) + self.recent_by_model.get(model, 0)
+
+
+def copies(holdings: Iterable[Holding]) -> dict[str, int]:
+    """Count the copies of each model, those being loaded included."""
+    count_by_model: dict[str, int] = {}
+    for holding in holdings:
+        named = holding.models | {holding.loading or ''}
+        for model in named - {''}:
+            count_by_model[model] = count_by_model.get(model, 0) + 1
+    return count_by_model
+
+
+def place(
+    model: str,
+    holdings: tuple[Holding, ...],
+    terms: EngineTerms,
+    demand: Demand,
+) -> Move | None:
+    """Return where a model is loaded soonest and at the least loss.
+
+    None when no target can take it now.
+    """
+    if model not in terms.models_by_name:
+        return None
+    count_by_model = copies(holdings)
+    offers = (
+        _offer(model, holding, terms, demand, count_by_model)
+        for holding in holdings
+        if holding.loading is None and model not in holding.models
+    )
+    best = min(
+        (offer for offer in offers if offer is not None),
+        key=lambda offer: (
+            offer[0],
+            -rendezvous_weight(model, offer[1].target_id),
+        ),
+        default=None,
+    )
+    return best[1] if best else None
+
+
+def plan(
+    holdings: tuple[Holding, ...],
+    terms: EngineTerms,
+    demand: Demand,
+) -> Iterator[Move]:
+    """Yield moves that bring copies nearer to demand, most wanted first.
+
+    Models without any copy are loaded into free room only; a request for
+    one loads it anyway.
+    """
+    count_by_model = copies(holdings)
+    wanted = sorted(
+        terms.models_by_name,
+        key=lambda model: -_value(model, demand, count_by_model),
+    )
+    for model in wanted:
+        move = place(model, holdings, terms, demand)
+        if move is None:
+            continue
+        if count_by_model.get(model, 0) == 0:
+            if not move.evict:
+                yield move
+        elif _relieves(model, move, demand, count_by_model):
+            yield move
+
+
+def load_time(terms: ModelTerms, holding: Holding) -> timedelta:
+    """Return how long a load takes at a target."""
+    if terms.name in holding.in_memory:
+        return terms.warm_load
+    if terms.name in holding.on_disk:
+        return terms.disk_load
+    return terms.cold_load
+
+
+def _relieves(
+    model: str,
+    move: Move,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> bool:
+    gain = _value(model, demand, count_by_model)
+    lost = sum(
+        _value(victim, demand, count_by_model) for victim in move.evict
+    )
+    return gain > RELIEF_LEAST and gain > lost * HYSTERESIS
+
+
+def _offer(
+    model: str,
+    holding: Holding,
+    terms: EngineTerms,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> tuple[timedelta, Move] | None:
+    wanted = terms.models_by_name[model]
+    is_cold = model not in holding.on_disk | holding.in_memory
+    if is_cold and not holding.may_load_cold:
+        return None
+    evict = _make_room(wanted, holding, terms, demand, count_by_model)
+    if evict is None:
+        return None
+    lost = sum(_loss(victim, demand, count_by_model) for victim in evict)
+    price = load_time(wanted, holding) + VALUE_TIME * lost
+    if is_cold:
+        price += STORE_LOAD_PENALTY
+    return price, Move(holding.target_id, model, evict)
+
+
+def _make_room(
+    wanted: ModelTerms,
+    holding: Holding,
+    terms: EngineTerms,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> tuple[str, ...] | None:
+    """Return the models that must go, least wanted first.
+
+    Models of a size that is not known can't be reckoned with: None.
+    """
+    sizes = {
+        name: terms.models_by_name[name].weights_mb
+        for name in holding.models
+        if name in terms.models_by_name
+    }
+    if len(sizes) < len(holding.models):
+        return None
+    free = terms.weights_mb - sum(sizes.values())
+    evict: list[str] = []
+    by_loss = sorted(
+        sizes,
+        key=lambda name: (_loss(name, demand, count_by_model), name),
+    )
+    for name in by_loss:
+        if free >= wanted.weights_mb:
+            break
+        evict.append(name)
+        free += sizes[name]
+    return tuple(evict) if free >= wanted.weights_mb else None
+
+
+def _value(
+    model: str,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> float:
+    return demand.weight(model) / max(count_by_model.get(model, 0), 1)
+
+
+def _loss(
+    model: str,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> float:
+    value = _value(model, demand, count_by_model)
+    if count_by_model.get(model, 0) > 1:
+        return value
+    return value * LAST_COPY_FACTOR
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/prompts.py
@@ -0,0 +1,73 @@
+"""What a gateway knows of the prompt parts that targets keep."""
+
+from collections import OrderedDict
+
+from verbenamux_relay.dialect import RequestTerms
+
+# Part ids remembered for each target; the least recently sent are dropped.
+PARTS_MOST = 600
+# The part of shared tokens that a prompt's first choice is taken to keep.
+PREFERRED_PART = 0.5
+
+
+class PromptMemory:
+    """The parts that this gateway sent to each target, newest last."""
+
+    def __init__(self) -> None:
+        """Start knowing nothing."""
+        self._parts_by_target: dict[str, OrderedDict[str, None]] = {}
+
+    def note(self, target_id: str, terms: RequestTerms) -> None:
+        """Remember that a target has read a prompt."""
+        parts = self._parts_by_target.setdefault(target_id, OrderedDict())
+        for part in terms.parts:
+            name = f'{terms.model_key}:{part.part_id}'
+            parts[name] = None
+            parts.move_to_end(name)
+        while len(parts) > PARTS_MOST:
+            parts.popitem(last=False)
+
+    def missing(
+        self,
+        target_id: str,
+        terms: RequestTerms,
+        is_preferred: bool,
+    ) -> int:
+        """Return the prompt tokens that the target must still read."""
+        parts = self._parts_by_target.get(target_id, {})
+        kept = 0
+        for part in terms.parts:
+            if f'{terms.model_key}:{part.part_id}' not in parts:
+                break
+            kept += part.tokens
+        shared = shared_tokens(terms)
+        if is_preferred:
+            kept = max(kept, int(shared * PREFERRED_PART))
+        return max(terms.prompt_tokens - kept, 0)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is known of a target that ended."""
+        self._parts_by_target.pop(target_id, None)
+
+    def forget_model(self, target_id: str, model: str) -> None:
+        """Drop the parts kept for a model that was unloaded."""
+        parts = self._parts_by_target.get(target_id)
+        for name in [name for name in parts or () if name.startswith(f'{model}/')]:
+            del parts[name]
+
+
+def shared_tokens(terms: RequestTerms) -> int:
+    """Return the tokens of the parts that other requests may share."""
+    return sum(part.tokens for part in terms.parts[:-1])
+
+
+def affinity(terms: RequestTerms) -> str:
+    """Name what requests should meet at one target for.
+
+    Requests of an adapter meet where it is loaded; others by the shared
+    parts of their prompts.
+    """
+    if terms.adapter is not None:
+        return terms.model_key
+    shared = ','.join(part.part_id for part in terms.parts[:-1])
+    return f'{terms.model_key}:{shared}'
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -0,0 +1,174 @@
+"""What a gateway believes of each target, and since when."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from verbenamux_http.client import Address
+from verbenamux_relay.dialect import LoadNotice
+
+# A report or load notice older than this says nothing of the load.
+LOAD_NOTICE_MOST = timedelta(milliseconds=1500)
+# Weight of the newest outcome in a target's rate of failures.
+FAILURE_WEIGHT = 0.15
+# First and longest pause after failures that prove a target out of reach.
+PAUSE_LEAST = timedelta(milliseconds=300)
+PAUSE_MOST = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """A target as the platform's registry lists it."""
+
+    target_id: str
+    service: str
+    address: Address
+    data_centre: str
+    slots: int
+    is_draining: bool = False
+    models: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """A target as the keeper beside it sees it; times are monotonic."""
+
+    target_id: str
+    received_at: timedelta
+    models: frozenset[str] = frozenset()
+    adapters: frozenset[str] = frozenset()
+    pending: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    queued: int = 0
+    active: int = 0
+    used_tokens: int = 0
+    total_tokens: int = 0
+    is_ordering: bool = False
+    store_loads_ready: bool = True
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A request this gateway has at a target."""
+
+    sent_at: timedelta
+    missing_tokens: int
+    total_tokens: int
+    is_started: bool = False
+
+
+@dataclass(slots=True)
+class Target:
+    """One target with all that is believed of it."""
+
+    entry: TargetEntry
+    report: TargetReport | None = None
+    load: LoadNotice | None = None
+    load_at: timedelta = timedelta()
+    failure_rate: float = 0
+    failures_in_row: int = 0
+    paused_until: timedelta = timedelta()
+    heard_at: timedelta = timedelta()
+    absent_models: set[str] = field(default_factory=set)
+    loaded_models: set[str] = field(default_factory=set)
+    in_flight: dict[int, InFlight] = field(default_factory=dict)
+    removed_at: timedelta | None = None
+
+    @property
+    def models(self) -> frozenset[str]:
+        """Return the models it holds, by the newest source."""
+        if self.report is not None:
+            return self.report.models
+        return (self.entry.models | self.loaded_models) - self.absent_models
+
+    def holds(self, model: str | None, adapter: str | None) -> bool:
+        """Tell whether a request for the model could run right away."""
+        if model is None:
+            return True
+        if model not in self.models:
+            return False
+        if adapter is None or self.report is None:
+            return adapter is None
+        return f'{model}/{adapter}' in self.report.adapters
+
+    def waiting(self, now: timedelta) -> int:
+        """Return how many requests wait there or came lately."""
+        mine = sum(not request.is_started for request in self.in_flight.values())
+        notice = self._notice(now)
+        return max(mine, notice.waiting if notice else 0)
+
+    def running(self, now: timedelta) -> int:
+        """Return how many requests run there, by the newest source."""
+        notice = self._notice(now)
+        return max(len(self.in_flight), notice.running if notice else 0)
+
+    def unstarted_tokens(self) -> int:
+        """Return the prompt tokens of this gateway's waiting requests."""
+        return sum(
+            request.missing_tokens
+            for request in self.in_flight.values()
+            if not request.is_started
+        )
+
+    def note_success(self, now: timedelta) -> None:
+        """Believe in a target that answered."""
+        self.heard_at = now
+        self.failures_in_row = 0
+        self.failure_rate *= 1 - FAILURE_WEIGHT
+
+    def note_failure(self, now: timedelta, is_unreachable: bool) -> None:
+        """Doubt a target; one that can't be reached pauses."""
+        self.failure_rate += (1 - self.failure_rate) * FAILURE_WEIGHT
+        if not is_unreachable:
+            return
+        self.failures_in_row += 1
+        pause = PAUSE_LEAST * 2 ** min(self.failures_in_row - 1, 4)
+        self.paused_until = now + min(pause, PAUSE_MOST)
+
+    def _notice(self, now: timedelta) -> LoadNotice | None:
+        report = self.report
+        if report is not None and now - report.received_at < LOAD_NOTICE_MOST:
+            if self.load is None or report.received_at >= self.load_at:
+                return LoadNotice(
+                    report.active,
+                    report.queued,
+                    self.entry.slots,
+                )
+        if self.load is not None and now - self.load_at < LOAD_NOTICE_MOST:
+            return self.load
+        return None
+
+
+class TargetBook:
+    """Every target that the registry lists, by id."""
+
+    def __init__(self) -> None:
+        """Start with no target known."""
+        self.by_id: dict[str, Target] = {}
+
+    def put(self, entry: TargetEntry) -> bool:
+        """Take in an entry; tell whether the target is new."""
+        target = self.by_id.get(entry.target_id)
+        if target is None:
+            self.by_id[entry.target_id] = Target(entry)
+            return True
+        target.entry = entry
+        target.removed_at = None
+        return False
+
+    def mark_removed(self, target_id: str, now: timedelta) -> None:
+        """Note that the registry lists a target no more."""
+        target = self.by_id.get(target_id)
+        if target is not None and target.removed_at is None:
+            target.removed_at = now
+
+    def forget(self, target_id: str) -> None:
+        """Drop a target."""
+        self.by_id.pop(target_id, None)
+
+    def of_service(self, service: str) -> Iterator[Target]:
+        """Yield the targets of a service, those that leave among them."""
+        for target in self.by_id.values():
+            if target.entry.service == service:
+                yield target
