Charge once what other gateways spent; newcomers take over what is left

Cause: a leaving gateway's peer record was dropped with each of its notices, so its whole sum was taken off again with the next; a restarted gateway took off what others had spent before its start. Ruled out: the limits themselves (config_change was later than the refusals).

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -385,8 +385,8 @@
 class UsageNotice(Message, frozen=True):
     """A gateway tells the others what it spent and has in flight.
 
-    The sums start at zero with each `instance`. `asked` counts requests
-    by model since then.
+    The sums start at zero with each `instance`. `left` is what it believes
+    each workspace may still spend. `asked` counts requests by model.
     """
 
     sender: str
@@ -394,6 +394,7 @@
     spent: dict[str, float]
     in_flight: dict[str, int]
     asked: dict[str, int]
+    left: dict[str, float] = {}
     leaving: bool = False
 
 
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -8,7 +8,7 @@
 within one rate.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -16,6 +16,8 @@
 
 # A gateway not heard for this long may be spending unseen.
 SILENCE_MOST = timedelta(milliseconds=700)
+# A gateway that started less than this ago takes over others' levels.
+START_TIME = timedelta(seconds=2)
 # For this long after its last notice a silent gateway keeps its part.
 RESERVED_FOR = timedelta(seconds=20)
 
@@ -24,6 +26,7 @@
 
 @dataclass(slots=True)
 class _Bucket:
+    workspace: Workspace
     level: float
     filled_at: timedelta
 
@@ -32,6 +35,7 @@
 class _Peer:
     heard_at: timedelta
     spent_by_workspace: dict[str, float]
+    is_leaving: bool
 
 
 class Allowance:
@@ -40,6 +44,7 @@
     def __init__(self, elapsed: Elapsed) -> None:
         """Start with full buckets; `elapsed` counts through suspensions."""
         self._elapsed = elapsed
+        self._started_at = elapsed()
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._peers_by_name: dict[str, _Peer] = {}
         self.spent_by_workspace: dict[str, float] = {}
@@ -66,38 +71,62 @@
         bucket.level = min(bucket.level + cost, workspace.burst)
         self._add_spent(workspace.name, -cost)
 
+    def levels(self) -> dict[str, float]:
+        """Return what is left in each bucket that was used."""
+        return {
+            name: round(self._fill(bucket.workspace).level)
+            for name, bucket in self._bucket_by_workspace.items()
+        }
+
     def hear(
         self,
         sender: str,
         spent_by_workspace: dict[str, float],
+        level_by_workspace: dict[str, float],
         workspaces_by_name: dict[str, Workspace],
+        is_leaving: bool = False,
     ) -> None:
         """Take off what another gateway spent since its last notice.
 
-        `sender` names one run of a gateway: its sums start at zero.
+        `sender` names one run of a gateway: its sums start at zero. Sums
+        from before this gateway's start are in the sender's levels.
         """
         now = self._elapsed()
         known = self._peers_by_name.get(sender)
         before = known.spent_by_workspace if known else {}
-        self._peers_by_name[sender] = _Peer(now, spent_by_workspace)
+        if known is None and now - self._started_at < START_TIME:
+            before = spent_by_workspace
+            self._take_over(level_by_workspace, workspaces_by_name)
+        self._peers_by_name[sender] = _Peer(
+            now,
+            spent_by_workspace,
+            is_leaving,
+        )
         for name, spent in spent_by_workspace.items():
             workspace = workspaces_by_name.get(name)
             if workspace is not None and workspace.per_second:
                 self._fill(workspace).level -= spent - before.get(name, 0)
 
+    def _take_over(
+        self,
+        level_by_workspace: dict[str, float],
+        workspaces_by_name: dict[str, Workspace],
+    ) -> None:
+        for name, level in level_by_workspace.items():
+            workspace = workspaces_by_name.get(name)
+            if workspace is not None and workspace.per_second:
+                bucket = self._fill(workspace)
+                bucket.level = min(bucket.level, level)
+
     def silent_peers(self) -> int:
         """Return how many gateways may be spending unseen."""
         now = self._elapsed()
         return sum(
             SILENCE_MOST < now - peer.heard_at < RESERVED_FOR
+            and not peer.is_leaving
             for peer in self._peers_by_name.values()
         )
 
-    def forget(self, senders: Iterable[str]) -> None:
-        """Drop gateways that are known to have ended."""
-        for sender in senders:
-            self._peers_by_name.pop(sender, None)
-
     def _rate(self, workspace: Workspace) -> float:
         now = self._elapsed()
         recent = sum(
@@ -111,8 +140,9 @@
         now = self._elapsed()
         bucket = self._bucket_by_workspace.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(workspace.burst, now)
+            bucket = _Bucket(workspace, workspace.burst, now)
             self._bucket_by_workspace[workspace.name] = bucket
+        bucket.workspace = workspace
         gained = (now - bucket.filled_at).total_seconds()
         bucket.filled_at = now
         bucket.level = min(
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -191,6 +191,7 @@
             sender=self.setup.name,
             instance=self.setup.instance,
             spent=dict(self.allowance.spent_by_workspace),
+            left=self.allowance.levels(),
             in_flight=self.demand.own_in_flight(),
             asked=dict(self.demand.asked_by_model),
             leaving=self.is_stopping,
@@ -333,11 +334,16 @@
         if not isinstance(message, UsageNotice):
             return
         workspaces = self._catalog.workspaces() if self._catalog else {}
-        self.allowance.hear(message.instance, message.spent, workspaces)
+        self.allowance.hear(
+            message.instance,
+            message.spent,
+            message.left,
+            workspaces,
+            message.leaving,
+        )
         self.demand.hear(message)
         if message.leaving:
             self._heard_by_peer.pop(message.sender, None)
-            self.allowance.forget((message.instance,))
         else:
             self._heard_by_peer[message.sender] = self._clock.elapsed()
 
