--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -213,7 +213,12 @@
         finally:
             watch.stop()
             watch.close()
-        return reply.is_complete and reply.keeps_connection
+        # An answer may have taken longer than it took to be told to stop.
+        return (
+            reply.is_complete
+            and reply.keeps_connection
+            and not self._callbacks.is_stopping()
+        )
 
     def refuse(self, error: RequestError) -> None:
         """Answer bytes that are refused, and close without a reset."""
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -34,7 +34,7 @@
 # Reports whose counts alone changed go out no more often than this.
 REPORT_PERIOD = timedelta(milliseconds=250)
 # Reports that say nothing new go out this often.
-IDLE_REPORT_PERIOD = timedelta(seconds=1)
+IDLE_REPORT_PERIOD = timedelta(milliseconds=500)
 # A gateway that has not said hello for this long gets no reports.
 SUBSCRIBER_SILENCE = timedelta(seconds=8)
 # An order is given up after so long, and a model's load altogether.
--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -16,6 +16,10 @@
 FAILURE_PENALTY = timedelta(seconds=3)
 # An adapter that must be loaded first, with the message to the keeper.
 ADAPTER_LOAD = timedelta(milliseconds=25)
+# An engine takes no order while it loads a model, which takes so long.
+ORDER_WAIT = timedelta(seconds=2)
+# What a silent keeper counts against its target.
+UNWATCHED_PENALTY = timedelta(milliseconds=150)
 # What sending to another data centre costs against an equal local target.
 REMOTE_PENALTY = timedelta(milliseconds=15)
 # Wait at a target whose memory of tokens is full, a token over.
@@ -37,6 +41,8 @@
     missing_tokens: int
     tokens_per_second: float
     lacks_adapter: bool = False
+    is_ordering: bool = False
+    is_unwatched: bool = False
     overflow_tokens: int = 0
     failure_rate: float = 0
     busy_share: float = 0
@@ -47,7 +53,7 @@
     tokens = option.waiting_tokens + option.missing_tokens
     predicted = timedelta(seconds=tokens / option.tokens_per_second)
     if option.lacks_adapter:
-        predicted += ADAPTER_LOAD
+        predicted += ORDER_WAIT if option.is_ordering else ADAPTER_LOAD
     return predicted + FULL_MEMORY_WAIT * max(option.overflow_tokens, 0)
 
 
@@ -56,6 +62,8 @@
     total = predict(option) + FAILURE_PENALTY * option.failure_rate
     if not option.is_local:
         total += REMOTE_PENALTY
+    if option.is_unwatched:
+        total += UNWATCHED_PENALTY
     return total + REMOTE_PENALTY * option.busy_share
 
 
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -39,8 +39,8 @@
 PLANNER_SILENCE = timedelta(seconds=1)
 # Removed targets are kept this long for answers still under way.
 REMOVED_KEPT = timedelta(seconds=10)
-# Only so many moves are under way at once, in parts of the targets.
-MOVES_PART = 3
+# One in so many targets may be loading a model for the planner at once.
+MOVES_PART = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -25,6 +25,8 @@
 ADAPTER_MOST = timedelta(milliseconds=400)
 # How long a keeper may take for a model, loads from a busy store included.
 MODEL_MOST = timedelta(seconds=12)
+# A keeper that fell silent meanwhile is noticed this fast.
+WATCH_PERIOD = timedelta(milliseconds=250)
 # Pause between two looks for a target that can take a model.
 RETRY_PAUSE = timedelta(milliseconds=60)
 
@@ -95,11 +97,13 @@
         if link is None:
             return False
         ask_id = new_request_id()
-        reply = link.ask(
+        asking = gevent.spawn(
+            link.ask,
             ask_id,
             ModelAsk(ask_id, move.model, move.evict),
             MODEL_MOST,
         )
+        reply = self._watch(asking, move.target_id)
         in_place = isinstance(reply, LoadReply) and reply.in_place
         self.log(
             'model_move',
@@ -111,6 +115,17 @@
         )
         return in_place
 
+    def _watch(self, asking: gevent.Greenlet, target_id: str) -> object:
+        """Return the reply, or None once the keeper fell silent."""
+        while not asking.ready():
+            asking.join(WATCH_PERIOD.total_seconds())
+            target = self.book.by_id.get(target_id)
+            now = self.clock.elapsed()
+            if target is None or target.has_silent_keeper(now):
+                asking.kill()
+                return None
+        return asking.value
+
     def _load_somewhere(self, service: Service, model: str) -> None:
         try:
             self._ask_best(service, model)
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -119,7 +119,11 @@
         ]
     if not able:
         return Lack.MODEL
-    reachable = [target for target in able if target.paused_until <= now]
+    reachable = [
+        target
+        for target in able
+        if target.paused_until <= now and not target.is_suspect(now)
+    ]
     affinity_key = affinity(query.terms)
     first = preferred(
         affinity_key,
@@ -142,6 +146,8 @@
         report = target.report
         if report is None or not is_serving(target, now):
             continue
+        if target.has_silent_keeper(now):
+            continue
         loading = next(
             (name for name in report.pending if '/' not in name),
             None,
@@ -177,6 +183,7 @@
         query.terms,
         is_preferred=entry.target_id == first,
     )
+    lacks_adapter = not target.holds(query.terms.model, query.terms.adapter)
     mine = sum(not sent.is_started for sent in target.in_flight.values())
     others = max(target.waiting(now) - mine, 0)
     return Option(
@@ -185,7 +192,11 @@
         waiting_tokens=target.unstarted_tokens() + others * TYPICAL_TOKENS,
         missing_tokens=missing,
         tokens_per_second=beliefs.paces.of(query.terms.model),
-        lacks_adapter=not target.holds(query.terms.model, query.terms.adapter),
+        lacks_adapter=lacks_adapter,
+        is_ordering=lacks_adapter
+        and target.report is not None
+        and target.report.is_ordering,
+        is_unwatched=target.has_silent_keeper(now),
         overflow_tokens=_overflow(target, query.terms, engine),
         failure_rate=target.failure_rate,
         busy_share=target.running(now) / max(entry.slots, 1),
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -14,7 +14,7 @@
 from verbenamux_relay.choosing import rendezvous_weight
 
 # A copy is added only where it relieves this many requests in flight.
-RELIEF_LEAST = 3.0
+RELIEF_LEAST = 1.0
 # A victim's value must be below the newcomer's by this factor.
 HYSTERESIS = 2.0
 # What the only copy of a model that is asked for counts against others.
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -272,18 +272,27 @@
             if not found.lacks_adapter or _load_adapter(job, target, tools):
                 return target, found
             continue
-        if found is Lack.TARGET:
+        if found is Lack.TARGET or _is_turned_away(last):
             return None, None
         if not _await_model(job, now, tools):
             return None, None
 
 
+def _is_turned_away(last: Outcome | None) -> bool:
+    """Tell whether the targets are full: waiting for another is no use."""
+    return (
+        last is not None
+        and last.ending is Ending.NOT_RUN
+        and last.arrived
+        and not last.is_misdirected
+    )
+
+
 def _is_hopeless(job: Job, option: Option, now: timedelta) -> bool:
     outlook = Outlook(
         predicted=predict(option),
         time_left=job.time_left(now),
         objective=job.route.objective,
-        priority=job.route.priority,
     )
     return judge(outlook) is Verdict.REFUSE
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 
 from verbenamux_contracts.clock import Clock
 from verbenamux_http.client import ConnectionPool, Exchange, Outgoing
@@ -30,6 +31,9 @@
 OK = 200
 
 
+Received = TypeVar('Received')
+
+
 class Ending(enum.Enum):
     """What one send came to.
 
@@ -152,7 +156,13 @@
     tools: SendTools,
 ) -> Outcome:
     clock = tools.clock
-    head = exchange.read_head(_patience(job, clock.elapsed()))
+    head = _await(
+        lambda: exchange.read_head(_patience(job, clock.elapsed())),
+        job,
+        target,
+        in_flight,
+        clock,
+    )
     terms = tools.dialect.read_answer(head)
     target.heard_at = clock.elapsed()
     if terms.load is not None:
@@ -220,7 +230,13 @@
     head = exchange.read_head(None)
     splitter = EventSplitter()
     try:
-        piece = exchange.read_piece(_patience(job, tools.clock.elapsed()))
+        piece = _await(
+            lambda: exchange.read_piece(_patience(job, tools.clock.elapsed())),
+            job,
+            target,
+            in_flight,
+            tools.clock,
+        )
         while piece is not None:
             for event in splitter.feed(piece):
                 if not in_flight.is_started:
@@ -261,6 +277,29 @@
     return min(left, patience)
 
 
+def _await(
+    read: Callable[[], Received],
+    job: Job,
+    target: Target,
+    in_flight: InFlight,
+    clock: Clock,
+) -> Received:
+    """Read with patience, and on while the target answers others.
+
+    A busy target is late for all; to break off there and send anew would
+    only add to its work.
+    """
+    while True:
+        try:
+            return read()
+        except ExchangeFailure as failure:
+            if failure.fault is not Fault.TIMED_OUT:
+                raise
+            is_alive = target.heard_at > in_flight.sent_at
+            if not is_alive or job.time_left(clock.elapsed()) <= timedelta():
+                raise
+
+
 def _gap_time(job: Job, in_flight: InFlight, clock: Clock) -> timedelta:
     if in_flight.is_started:
         return job.time_left(clock.elapsed())
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -14,6 +14,11 @@
 # First and longest pause after failures that prove a target out of reach.
 PAUSE_LEAST = timedelta(milliseconds=300)
 PAUSE_MOST = timedelta(seconds=2)
+# A request without any sign of life from its target for this long makes the
+# target suspect: several times what an idle one takes to answer.
+SUSPECT_AFTER = timedelta(milliseconds=900)
+# A keeper reports at least twice a second; beyond this it is silent.
+KEEPER_SILENCE = timedelta(milliseconds=1300)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +116,22 @@
             if not request.is_started
         )
 
+    def is_suspect(self, now: timedelta) -> bool:
+        """Tell whether it has been silent on a request for too long."""
+        return any(
+            not sent.is_started
+            and now - sent.sent_at > SUSPECT_AFTER
+            and self.heard_at < sent.sent_at
+            for sent in self.in_flight.values()
+        )
+
+    def has_silent_keeper(self, now: timedelta) -> bool:
+        """Tell whether its keeper reported before, and stopped."""
+        report = self.report
+        return report is not None and (
+            now - report.received_at > KEEPER_SILENCE
+        )
+
     def note_success(self, now: timedelta) -> None:
         """Believe in a target that answered."""
         self.heard_at = now
--- a/libs/relay/src/verbenamux_relay/waiting.py
+++ b/libs/relay/src/verbenamux_relay/waiting.py
@@ -3,8 +3,8 @@
 Load pattern: prompts arrive faster than engines read them. A request whose
 first event is predicted behind its deadline would run in vain and hold up
 others: it is refused while it can still come back. One that would only miss
-its objective is still worth its answer, unless the targets are so far behind
-that taking it makes the next ones late too.
+its objective by little is still worth its answer; beyond that, taking it
+would make those behind it late too.
 """
 
 import enum
@@ -14,9 +14,9 @@
 
 # The part of the time left that a predicted first event may take.
 DEADLINE_PART = 0.6
-# Beyond so many objectives of predicted wait, less urgent requests go away.
-OVERLOAD_BY_PRIORITY = {0: 4.0, 1: 2.5}
-OVERLOAD_OTHERS = 2.5
+# Beyond so many objectives of predicted wait a request is refused: answers
+# that are all late are worth less than fewer in time.
+OVERLOAD = 1.25
 # Retry-After is spread over this part of itself, so that callers who were
 # refused together do not return together.
 SPREAD = 0.5
@@ -37,22 +37,19 @@
 class Outlook:
     """What a request may expect at its best target.
 
-    `predicted` is the time to its first event there. `has_returned` is true
-    for one that was refused before, as far as its time left shows.
+    `predicted` is the time to its first event there.
     """
 
     predicted: timedelta
     time_left: timedelta
     objective: timedelta
-    priority: int
 
 
 def judge(outlook: Outlook) -> Verdict:
     """Return whether a request is worth sending now."""
     if outlook.predicted > outlook.time_left * DEADLINE_PART:
         return Verdict.REFUSE
-    factor = OVERLOAD_BY_PRIORITY.get(outlook.priority, OVERLOAD_OTHERS)
-    if outlook.predicted > outlook.objective * factor:
+    if outlook.predicted > outlook.objective * OVERLOAD:
         return Verdict.REFUSE
     return Verdict.SEND
 
