Refuse when a key can't be confirmed; refuse at once what a load comes too late for

Requests waited out their callers for models that took longer to load; the planner could give one target to several models a round. Ruled out: a stop that hangs; the process was silent before the stop's end.

--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -43,6 +43,8 @@
 ADAPTER_MOST = timedelta(milliseconds=600)
 # An adapter used within this time is not made to go.
 ADAPTER_REST = timedelta(milliseconds=100)
+# A model that has just come is not made to go: requests wait for it.
+MODEL_REST = timedelta(milliseconds=1200)
 # Adapters that may be on their way to an engine at the same time.
 ADAPTERS_PENDING_MOST = 4
 # Pause before an order that got no answer is sent again.
@@ -62,6 +64,7 @@
     ordering: str | None = None
     subscribers: dict[bytes, timedelta] = field(default_factory=dict)
     used_at_by_adapter: dict[str, timedelta] = field(default_factory=dict)
+    loaded_at_by_model: dict[str, timedelta] = field(default_factory=dict)
 
 
 class Keeper:
@@ -218,6 +221,8 @@
             notice.targets,
         ):
             return "this engine's part of the store's pace is spent"
+        if any(map(self._has_just_come, ask.evict)):
+            return 'a model that was to go has just come'
         for victim in ask.evict:
             cause = self._unload_model(victim)
             if cause:
@@ -229,11 +234,19 @@
             self._pace.note_start()
         if not self._give(OrderKind.LOAD, ask.model, None):
             return 'the engine did not take the order'
-        return self._await(
+        cause = self._await(
             lambda state: ask.model in state.models and not state.is_busy,
             MODEL_MOST,
             ORDER_PERIOD,
         )
+        self.state.loaded_at_by_model[ask.model] = self._clock.elapsed()
+        return cause
+
+    def _has_just_come(self, model: str) -> bool:
+        loaded_at = self.state.loaded_at_by_model.get(model)
+        return loaded_at is not None and (
+            self._clock.elapsed() - loaded_at < MODEL_REST
+        )
 
     def _unload_model(self, victim: str) -> str:
         engine = self.state.engine
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -228,8 +228,8 @@
             most = max(len(places) // MOVES_PART, 1)
             moves = plan(places, service.engine, self._current_demand())
             for move in moves:
-                if len(self._moving) >= most:
-                    break
+                if len(self._moving) >= most and move.evict:
+                    continue
                 if move.target_id not in self._moving:
                     self._moving.add(move.target_id)
                     run(partial(self._carry_out, move))
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -13,6 +13,7 @@
 class Job:
     """A request with its terms; times are monotonic.
 
+    `expected_at` is when a model that is being loaded should be in place.
     `sends` counts the sends that reached a target, `runs` those that may
     have run there. `cause` names the last failure.
     """
@@ -34,6 +35,7 @@
     events: int = 0
     first_event_at: timedelta | None = None
     sent_at: timedelta | None = None
+    expected_at: timedelta | None = None
     target_id: str = ''
     cause: str = ''
     steps: list[str] = field(default_factory=list)
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -15,7 +15,7 @@
     LoadReply,
     ModelAsk,
 )
-from verbenamux_relay.catalog import Service
+from verbenamux_relay.catalog import EngineTerms, Service
 from verbenamux_relay.picking import holdings
 from verbenamux_relay.placing import Demand, Move, place
 from verbenamux_relay.targets import Target, TargetBook
@@ -27,6 +27,8 @@
 MODEL_MOST = timedelta(seconds=12)
 # A keeper that fell silent meanwhile is noticed this fast.
 WATCH_PERIOD = timedelta(milliseconds=250)
+# What making room takes: the requests of the model that goes must end.
+UNLOAD_TIME = timedelta(milliseconds=300)
 # Pause between two looks for a target that can take a model.
 RETRY_PAUSE = timedelta(milliseconds=60)
 
@@ -45,12 +47,17 @@
     demand: Callable[[], Demand]
     _changed: Event = field(default_factory=Event)
     _asking: set[str] = field(default_factory=set)
+    _expected_by_model: dict[str, timedelta] = field(default_factory=dict)
 
     def note_change(self) -> None:
         """Wake up those who wait for a model, since holdings changed."""
         self._changed.set()
         self._changed.clear()
 
+    def expected_at(self, model: str) -> timedelta | None:
+        """Return when a model should be in place, if it is being loaded."""
+        return self._expected_by_model.get(model)
+
     def await_model(
         self,
         service: Service,
@@ -131,6 +138,7 @@
             self._ask_best(service, model)
         finally:
             self._asking.discard(model)
+            self._expected_by_model.pop(model, None)
             self.note_change()
 
     def _ask_best(self, service: Service, model: str) -> None:
@@ -141,8 +149,28 @@
         places = tuple(holdings(self.book, service.name, now))
         loading = [place_ for place_ in places if place_.loading == model]
         if loading:
-            self.clock.sleep(RETRY_PAUSE)
+            self._await_elsewhere(service, engine, model)
             return
         move = place(model, places, engine, self.demand())
-        if move is None or not self.carry_out(move):
+        if move is None:
+            self.clock.sleep(RETRY_PAUSE)
+            return
+        self._expected_by_model[model] = now + move.load_time + UNLOAD_TIME
+        if not self.carry_out(move):
+            self.clock.sleep(RETRY_PAUSE)
+
+    def _await_elsewhere(
+        self,
+        service: Service,
+        engine: EngineTerms,
+        model: str,
+    ) -> None:
+        """Wait while another gateway has the model loaded."""
+        now = self.clock.elapsed()
+        give_up_at = now + engine.models_by_name[model].cold_load + UNLOAD_TIME
+        self._expected_by_model[model] = give_up_at
+        while self.clock.elapsed() < give_up_at:
             self.clock.sleep(RETRY_PAUSE)
+            places = holdings(self.book, service.name, self.clock.elapsed())
+            if all(place_.loading != model for place_ in places):
+                return
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -7,14 +7,16 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from verbenamux_relay.catalog import EngineTerms, ModelTerms
 from verbenamux_relay.choosing import rendezvous_weight
 
-# A copy is added only where it relieves this many requests in flight.
+# A copy is added only where it relieves this many requests in flight; one
+# from the weight store, which all targets share, only for more.
 RELIEF_LEAST = 1.0
+COLD_RELIEF_LEAST = 2.0
 # A victim's value must be below the newcomer's by this factor.
 HYSTERESIS = 2.0
 # What the only copy of a model that is asked for counts against others.
@@ -48,6 +50,8 @@
     target_id: str
     model: str
     evict: tuple[str, ...] = ()
+    is_cold: bool = False
+    load_time: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,20 +122,24 @@
     Models without any copy are loaded into free room only; a request for
     one loads it anyway.
     """
-    count_by_model = copies(holdings)
-    wanted = sorted(
-        terms.models_by_name,
-        key=lambda model: -_value(model, demand, count_by_model),
-    )
-    for model in wanted:
-        move = place(model, holdings, terms, demand)
-        if move is None:
+    place_by_target = {holding.target_id: holding for holding in holdings}
+    passed_over: set[str] = set()
+    while len(passed_over) < len(terms.models_by_name):
+        places = tuple(place_by_target.values())
+        count_by_model = copies(places)
+        model = max(
+            terms.models_by_name.keys() - passed_over,
+            key=lambda name: (_gain(name, demand, count_by_model), name),
+        )
+        move = place(model, places, terms, demand)
+        if move is None or not _pays(move, demand, count_by_model):
+            passed_over.add(model)
             continue
-        if count_by_model.get(model, 0) == 0:
-            if not move.evict:
-                yield move
-        elif _relieves(model, move, demand, count_by_model):
-            yield move
+        yield move
+        place_by_target[move.target_id] = replace(
+            place_by_target[move.target_id],
+            loading=model,
+        )
 
 
 def load_time(terms: ModelTerms, holding: Holding) -> timedelta:
@@ -143,17 +151,38 @@
     return terms.cold_load
 
 
-def _relieves(
+def _gain(
     model: str,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> float:
+    """Return what one more copy brings; the first brings the most."""
+    return demand.weight(model) / (count_by_model.get(model, 0) + 0.5)
+
+
+def _pays(
     move: Move,
     demand: Demand,
     count_by_model: Mapping[str, int],
 ) -> bool:
-    gain = _value(model, demand, count_by_model)
+    if count_by_model.get(move.model, 0):
+        return _relieves(move, demand, count_by_model)
+    return not move.evict and (
+        not move.is_cold or demand.weight(move.model) > 0
+    )
+
+
+def _relieves(
+    move: Move,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> bool:
+    gain = _value(move.model, demand, count_by_model)
     lost = sum(
         _value(victim, demand, count_by_model) for victim in move.evict
     )
-    return gain > RELIEF_LEAST and gain > lost * HYSTERESIS
+    least = COLD_RELIEF_LEAST if move.is_cold else RELIEF_LEAST
+    return gain > least and gain > lost * HYSTERESIS
 
 
 def _offer(
@@ -174,7 +203,14 @@
     price = load_time(wanted, holding) + VALUE_TIME * lost
     if is_cold:
         price += STORE_LOAD_PENALTY
-    return price, Move(holding.target_id, model, evict)
+    move = Move(
+        holding.target_id,
+        model,
+        evict,
+        is_cold,
+        load_time(wanted, holding),
+    )
+    return price, move
 
 
 def _make_room(
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -15,6 +15,7 @@
 from verbenamux_relay.catalog import (
     Catalog,
     Route,
+    RouteKind,
     Workspace,
     pick_share,
 )
@@ -60,8 +61,10 @@
 # How long a model that is not in place is waited for, as a part of the time
 # left.
 MODEL_WAIT_PART = 0.75
-# Pause before the same few targets are tried once more.
-AGAIN_PAUSE = timedelta(milliseconds=30)
+# Callers leave a stream without events after the longer of these.
+STAY_LEAST = timedelta(seconds=2)
+STAY_FACTOR = 4
+KEY_UNSURE = 'the key could not be confirmed lately'
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,11 @@
         raise
     except _Refused as refused:
         _refuse(job, refused, tools)
+    except Exception as error:
+        # A defect of this gateway: the caller still gets a true answer.
+        tools.log('task_error', request=terms.request_id, cause=repr(error))
+        status = BAD_GATEWAY if job.sent_at else UNAVAILABLE
+        _refuse(job, _Refused(status, 'internal error', NEWS_TIME), tools)
     finally:
         tools.demand.end(model)
 
@@ -193,7 +201,7 @@
     if not known.is_key_trusted:
         raise _Refused(
             UNAVAILABLE,
-            'keys could not be confirmed lately',
+            KEY_UNSURE,
             LOADING_TIME,
         )
     return workspace
@@ -312,15 +320,24 @@
     engine = job.service.engine
     if engine is None or model not in engine.models_by_name:
         return False
-    waited = now - job.arrived_at
-    allowed = (job.deadline - job.arrived_at) * MODEL_WAIT_PART
-    if waited >= allowed:
-        job.steps.append('the model was not in place in time')
+    allowed = job.arrived_at + _stay(job) * MODEL_WAIT_PART
+    expected = tools.loader.expected_at(model)
+    if max(now, expected or now) >= allowed:
+        job.steps.append('the model is not in place in time')
+        job.expected_at = expected
         return False
-    tools.loader.await_model(job.service, model, allowed - waited)
+    tools.loader.await_model(job.service, model, allowed - now)
     return True
 
 
+def _stay(job: Job) -> timedelta:
+    """Return how long the caller stays before the first event."""
+    left = job.deadline - job.arrived_at
+    if job.route.kind is not RouteKind.STREAMING:
+        return left
+    return min(left, max(STAY_LEAST, job.route.objective * STAY_FACTOR))
+
+
 @contextmanager
 def _counted(
     target: Target,
@@ -342,13 +359,7 @@
     tools: RelayTools,
 ) -> Outcome:
     now = tools.clock.elapsed()
-    known = tools.knowledge()
-    if job.workspace is not None and not known.is_key_trusted:
-        return Outcome(
-            Ending.NOT_RUN,
-            'keys could not be confirmed lately',
-            arrived=False,
-        )
+    _check_key(job, tools)
     job.sent_at = now
     job.target_id = target.entry.target_id
     in_flight = InFlight(
@@ -375,6 +386,23 @@
     return outcome
 
 
+def _check_key(job: Job, tools: RelayTools) -> None:
+    """Refuse when the key may have been withdrawn while the job waited."""
+    if job.workspace is None:
+        return
+    known = tools.knowledge()
+    catalog = known.catalog
+    is_known = catalog is not None and (
+        (job.terms.key or '') in catalog.workspaces_by_key
+    )
+    if known.is_key_trusted and is_known:
+        return
+    status = BAD_GATEWAY if job.runs else UNAVAILABLE
+    if not is_known and not job.runs:
+        status = UNAUTHORIZED
+    raise _Refused(status, KEY_UNSURE, LOADING_TIME)
+
+
 def _learn(
     job: Job,
     target: Target,
@@ -470,10 +498,13 @@
             'all targets are behind',
             predict(option) - job.route.objective,
         )
+    wait = LOADING_TIME if job.terms.model else NEWS_TIME
+    if job.expected_at is not None:
+        wait = job.expected_at - now
     raise _Refused(
         UNAVAILABLE,
         job.cause or 'no target can take the request',
-        LOADING_TIME if job.terms.model else NEWS_TIME,
+        wait,
     )
 
 
