--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -240,7 +240,9 @@
             return
         self._parser.finish()
         if not self._parser.is_complete:
-            raise ExchangeFailure(Fault.BROKEN, 'closed before the answer ended')
+            raise ExchangeFailure(
+                Fault.BROKEN, 'closed before the answer ended'
+            )
 
 
 class ConnectionPool:
--- a/libs/http/src/verbenamux_http/headers.py
+++ b/libs/http/src/verbenamux_http/headers.py
@@ -3,18 +3,20 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-HOP_BY_HOP = frozenset((
-    'connection',
-    'keep-alive',
-    'proxy-connection',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-    'expect',
-))
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +38,9 @@
         dropped = {name.lower() for name in names}
         return Headers(
             tuple(
-                field for field in self.fields if field[0].lower() not in dropped
+                field
+                for field in self.fields
+                if field[0].lower() not in dropped
             ),
         )
 
--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -197,7 +197,10 @@
             return
         try:
             self._parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             if not self.is_complete:
                 raise ExchangeFailure(
                     Fault.MALFORMED,
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -278,7 +278,7 @@
 
     def on_readable() -> None:
         try:
-            peeked = opened._sock.recv(1, socket.MSG_PEEK)  # noqa: SLF001
+            peeked = opened._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return
         except OSError:
@@ -286,7 +286,9 @@
         watcher.stop()
         if not peeked:
             gevent.get_hub().loop.run_callback(
-                _throw_if_alive, task, CallerGone('closed while waiting'),
+                _throw_if_alive,
+                task,
+                CallerGone('closed while waiting'),
             )
 
     watcher.start(on_readable)
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -378,9 +378,7 @@
             self.state.target_id = None
         elif answer in {OrderAnswer.ACCEPTED, OrderAnswer.HOLDS}:
             return True
-        elif answer is OrderAnswer.INVALID:
-            return False
-        elif answer is OrderAnswer.CONFLICT and adapter is not None:
+        elif answer is OrderAnswer.INVALID or (answer is OrderAnswer.CONFLICT and adapter is not None):
             return False
         return None
 
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -49,6 +49,4 @@
         """Tell whether one more run is allowed."""
         if not self.runs:
             return True
-        return (
-            self.route.is_repeatable and self.runs < self.route.attempts_most
-        )
+        return self.route.is_repeatable and self.runs < self.route.attempts_most
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -92,7 +92,9 @@
             )
         return in_place
 
-    def note_adapter_use(self, target: Target, model: str, adapter: str) -> None:
+    def note_adapter_use(
+        self, target: Target, model: str, adapter: str
+    ) -> None:
         """Tell a keeper that an adapter is in use."""
         link = self.link_of(target.entry.target_id)
         if link is not None:
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -178,9 +178,7 @@
     count_by_model: Mapping[str, int],
 ) -> bool:
     gain = _value(move.model, demand, count_by_model)
-    lost = sum(
-        _value(victim, demand, count_by_model) for victim in move.evict
-    )
+    lost = sum(_value(victim, demand, count_by_model) for victim in move.evict)
     least = COLD_RELIEF_LEAST if move.is_cold else RELIEF_LEAST
     return gain > least and gain > lost * HYSTERESIS
 
--- a/libs/relay/src/verbenamux_relay/prompts.py
+++ b/libs/relay/src/verbenamux_relay/prompts.py
@@ -52,7 +52,9 @@
     def forget_model(self, target_id: str, model: str) -> None:
         """Drop the parts kept for a model that was unloaded."""
         parts = self._parts_by_target.get(target_id)
-        for name in [name for name in parts or () if name.startswith(f'{model}/')]:
+        for name in [
+            name for name in parts or () if name.startswith(f'{model}/')
+        ]:
             del parts[name]
 
 
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -575,7 +575,9 @@
     )
     tools.metrics.observe('request', now - job.arrived_at)
     if job.first_event_at is not None:
-        tools.metrics.observe('first_event', job.first_event_at - job.arrived_at)
+        tools.metrics.observe(
+            'first_event', job.first_event_at - job.arrived_at
+        )
     known = tools.knowledge()
     tools.log(
         'request_ended',
@@ -610,4 +612,3 @@
 def job_numbers() -> Iterator[int]:
     """Return numbers for requests in flight."""
     return count(1)
-
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -99,7 +99,9 @@
 
     def waiting(self, now: timedelta) -> int:
         """Return how many requests wait there or came lately."""
-        mine = sum(not request.is_started for request in self.in_flight.values())
+        mine = sum(
+            not request.is_started for request in self.in_flight.values()
+        )
         notice = self._notice(now)
         return max(mine, notice.waiting if notice else 0)
 
--- a/libs/relay/src/verbenamux_relay/waiting.py
+++ b/libs/relay/src/verbenamux_relay/waiting.py
@@ -73,5 +73,3 @@
     if workspace_priority is None:
         return min(route_priority, 9)
     return min(workspace_priority * 2 + min(route_priority, 1), 9)
-
-
