--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -383,16 +383,17 @@
 
 
 class UsageNotice(Message, frozen=True):
-    """A gateway tells the others what it spent and has in flight.
+    """A gateway tells the others what it spent and what waits there.
 
     The sums start at zero with each `instance`. `left` is what it believes
-    each workspace may still spend. `asked` counts requests by model.
+    each workspace may still spend. By model, `waiting` counts requests
+    before their first event, `asked` all requests.
     """
 
     sender: str
     instance: str
     spent: dict[str, float]
-    in_flight: dict[str, int]
+    waiting: dict[str, int]
     asked: dict[str, int]
     left: dict[str, float] = {}
     leaving: bool = False
--- a/libs/relay/src/verbenamux_relay/demand.py
+++ b/libs/relay/src/verbenamux_relay/demand.py
@@ -12,14 +12,14 @@
 # How fast what was asked for is forgotten: a model asked for once weighs
 # less than half of it after this time.
 MEMORY = timedelta(seconds=6)
-# A gateway not heard for this long counts for nothing in flight.
+# What a gateway not heard for this long had waiting counts no more.
 SILENCE_MOST = timedelta(seconds=2)
 
 
 @dataclass(slots=True)
 class _Peer:
     heard_at: timedelta
-    in_flight: dict[str, int]
+    waiting: dict[str, int]
     asked: dict[str, int]
 
 
@@ -35,21 +35,18 @@
         self._decayed_at = elapsed()
         self._peers_by_instance: dict[str, _Peer] = {}
 
-    def note_asked(self, model: str) -> None:
-        """Count a request for a model."""
+    def begin(self, model: str) -> None:
+        """Count a request that came and waits for its first event."""
         self.asked_by_model[model] += 1
         self._add_recent(model, 1)
-
-    def begin(self, model: str) -> None:
-        """Count a request as in flight."""
         self.waiting_by_model[model] += 1
 
     def end(self, model: str) -> None:
-        """Count a request as ended."""
+        """Count a request as waiting no more."""
         self.waiting_by_model[model] -= 1
 
-    def own_in_flight(self) -> dict[str, int]:
-        """Return this gateway's requests in flight, by model."""
+    def own_waiting(self) -> dict[str, int]:
+        """Return this gateway's waiting requests, by model."""
         return {
             model: waiting
             for model, waiting in self.waiting_by_model.items()
@@ -64,23 +61,23 @@
             self._add_recent(model, asked - before.get(model, 0))
         self._peers_by_instance[notice.instance] = _Peer(
             self._elapsed(),
-            notice.in_flight,
+            notice.waiting,
             notice.asked,
         )
 
     def current(self) -> Demand:
         """Return the demand of all gateways that were heard lately."""
         now = self._elapsed()
-        in_flight = Counter(self.own_in_flight())
+        waiting = Counter(self.own_waiting())
         for instance, peer in tuple(self._peers_by_instance.items()):
             if now - peer.heard_at < SILENCE_MOST:
-                in_flight.update(peer.in_flight)
+                waiting.update(peer.waiting)
             elif now - peer.heard_at > MEMORY:
                 self._peers_by_instance.pop(instance)
         self._decay()
         seconds = MEMORY.total_seconds()
         return Demand(
-            in_flight_by_model=dict(in_flight),
+            waiting_by_model=dict(waiting),
             recent_by_model={
                 model: recent / seconds
                 for model, recent in self._recent_by_model.items()
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -186,13 +186,13 @@
         return budget
 
     def tell_usage(self) -> None:
-        """Tell the other gateways what was spent and is in flight."""
+        """Tell the other gateways what was spent and what waits."""
         notice = UsageNotice(
             sender=self.setup.name,
             instance=self.setup.instance,
             spent=dict(self.allowance.spent_by_workspace),
             left=self.allowance.levels(),
-            in_flight=self.demand.own_in_flight(),
+            waiting=self.demand.own_waiting(),
             asked=dict(self.demand.asked_by_model),
             leaving=self.is_stopping,
         )
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -29,6 +29,8 @@
 WATCH_PERIOD = timedelta(milliseconds=250)
 # What making room takes: the requests of the model that goes must end.
 UNLOAD_TIME = timedelta(milliseconds=300)
+# A target that refused a model is passed over for this long.
+REFUSAL_REST = timedelta(milliseconds=500)
 # Pause between two looks for a target that can take a model.
 RETRY_PAUSE = timedelta(milliseconds=60)
 
@@ -47,6 +49,7 @@
     demand: Callable[[], Demand]
     _changed: Event = field(default_factory=Event)
     _asking: set[str] = field(default_factory=set)
+    _resting_until: dict[str, timedelta] = field(default_factory=dict)
     _expected_by_model: dict[str, timedelta] = field(default_factory=dict)
 
     def note_change(self) -> None:
@@ -114,6 +117,9 @@
         )
         reply = self._watch(asking, move.target_id)
         in_place = isinstance(reply, LoadReply) and reply.in_place
+        if not in_place:
+            rest_until = self.clock.elapsed() + REFUSAL_REST
+            self._resting_until[move.target_id] = rest_until
         self.log(
             'model_move',
             target=move.target_id,
@@ -148,7 +154,11 @@
         if engine is None:
             return
         now = self.clock.elapsed()
-        places = tuple(holdings(self.book, service.name, now))
+        places = tuple(
+            holding
+            for holding in holdings(self.book, service.name, now)
+            if self._resting_until.get(holding.target_id, now) <= now
+        )
         loading = [holding for holding in places if holding.loading == model]
         if loading:
             self._await_elsewhere(service, engine, model)
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -2,8 +2,9 @@
 
 Load patterns: a rare model is asked for that no target holds; the demand of
 busy models moves on to others within seconds; a target with many models is
-lost. A model's value at a target is its requests in flight for each copy, so
-copies follow the work that waits, whatever a model's speed.
+lost. Copies follow the requests that wait for their first event, whatever a
+model's speed; those that are being answered need no further copy. What makes
+way is what is asked for least, for each copy.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -14,15 +15,15 @@
 from verbenamux_relay.catalog import EngineTerms, ModelTerms
 from verbenamux_relay.choosing import rendezvous_weight
 
-# A copy is added only where it relieves this many requests in flight; one
+# A copy is added only where more than this many requests wait for each; one
 # from the weight store, which all targets share, only for more.
 RELIEF_LEAST = 1.0
-COLD_RELIEF_LEAST = 2.0
+COLD_RELIEF_LEAST = 1.5
 # A victim's value must be below the newcomer's by this factor.
 HYSTERESIS = 2.0
 # What the only copy of a model that is asked for counts against others.
 LAST_COPY_FACTOR = 3.0
-# Loss that one request in flight at an evicted copy stands for.
+# Loss that one request a second at an evicted copy stands for.
 VALUE_TIME = timedelta(seconds=1)
 # A load from the weight store counts this much more than its time.
 STORE_LOAD_PENALTY = timedelta(seconds=2)
@@ -57,21 +58,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Requests in flight and lately asked for, by model.
+    """Requests that wait, and that came lately, by model.
 
-    `in_flight_by_model` covers all gateways. `recent_by_model` is the rate
-    at which each was asked for lately, a second.
+    Both cover all gateways. `recent_by_model` is a rate a second.
     """
 
-    in_flight_by_model: Mapping[str, float]
+    waiting_by_model: Mapping[str, float]
     recent_by_model: Mapping[str, float]
 
     def weight(self, model: str) -> float:
         """Return how much a model is wanted, in requests."""
-        return self.in_flight_by_model.get(
-            model,
-            0,
-        ) + self.recent_by_model.get(model, 0)
+        recent = self.recent_by_model.get(model, 0)
+        return self.waiting_by_model.get(model, 0) + recent
 
 
 def copies(holdings: Iterable[Holding]) -> dict[str, int]:
@@ -190,7 +188,8 @@
     demand: Demand,
     count_by_model: Mapping[str, int],
 ) -> bool:
-    gain = _value(move.model, demand, count_by_model)
+    waiting = demand.waiting_by_model.get(move.model, 0)
+    gain = waiting / max(count_by_model.get(move.model, 0), 1)
     lost = sum(_value(victim, demand, count_by_model) for victim in move.evict)
     least = COLD_RELIEF_LEAST if move.is_cold else RELIEF_LEAST
     return gain > least and gain > lost * HYSTERESIS
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -49,7 +49,7 @@
 LOADING_TIME = timedelta(seconds=1)
 # How long a model that is not in place is waited for, as a part of the time
 # that the caller stays.
-MODEL_WAIT_PART = 0.75
+MODEL_WAIT_PART = 0.85
 # Callers leave a stream without events after the longer of these.
 STAY_LEAST = timedelta(seconds=2)
 STAY_FACTOR = 4
@@ -114,14 +114,16 @@
 
 @contextmanager
 def _in_demand(job: Job, demand: DemandMeter) -> Iterator[None]:
-    model = job.terms.model or ''
-    if model:
-        demand.note_asked(model)
+    model = job.terms.model
+    if model is None:
+        yield
+        return
     demand.begin(model)
     try:
         yield
     finally:
-        demand.end(model)
+        if job.first_event_at is None:
+            demand.end(model)
 
 
 def _carry(job: Job, tools: RelayTools) -> None:
