--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -334,10 +334,15 @@
 
     `pending` lists models and adapters that are being loaded. While
     `store_loads_ready` is false, this engine's part of the weight store's
-    pace is spent.
+    pace is spent. `notice_version` is that of the newest EngineNotice, 0
+    without any.
     """
 
     target_id: str
+    service: str = ''
+    address: str = ''
+    data_centre: str = ''
+    notice_version: int = 0
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     pending: tuple[str, ...] = ()
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -56,6 +56,15 @@
 Send = Callable[[bytes, KeeperReport | LoadReply], object]
 
 
+@dataclass(frozen=True, slots=True)
+class EnginePlace:
+    """Where the engine is: its service, address and data centre."""
+
+    service: str
+    address: str
+    data_centre: str
+
+
 @dataclass(slots=True)
 class KeeperState:
     """All that a keeper knows; times are monotonic."""
@@ -75,6 +84,7 @@
 
     def __init__(
         self,
+        place: EnginePlace,
         port: EnginePort,
         pace: StorePace,
         clock: Clock,
@@ -83,6 +93,7 @@
     ) -> None:
         """Start with nothing known of the engine."""
         self.state = KeeperState()
+        self._place = place
         self._port = port
         self._pace = pace
         self._clock = clock
@@ -169,6 +180,10 @@
             pending.add(self.state.ordering)
         return KeeperReport(
             target_id=self.state.target_id or '',
+            service=self._place.service,
+            address=self._place.address,
+            data_centre=self._place.data_centre,
+            notice_version=notice.version if notice else 0,
             models=tuple(sorted(engine.models)),
             adapters=tuple(sorted(engine.adapters)),
             pending=tuple(sorted(pending)),
--- a/libs/keeper/src/verbenamux_keeper/pacing.py
+++ b/libs/keeper/src/verbenamux_keeper/pacing.py
@@ -8,10 +8,17 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from random import Random
 
-# Loads that a window may hold beyond the pace, as a part of the stated
-# allowance, so that keepers that restart do not exceed it together.
 WINDOW = timedelta(seconds=5)
+# A window is kept longer by this factor, since loads begin a little after
+# their orders.
+SPAN_FACTOR = 1.04
+# Part of the pace that engines use when each gets less than a load a window:
+# their loads then fall into a window by chance.
+CHANCE_PART = 0.7
+# Bounds the time between two loads of one engine.
+LEAST_PART = 0.01
 
 
 class StorePace:
@@ -22,30 +29,34 @@
         elapsed: Callable[[], timedelta],
         window: timedelta = WINDOW,
         overage: float = 1.0,
-        extra: float = 0,
+        random: Random | None = None,
     ) -> None:
         """Start with the part unspent.
 
         In any `window` all engines together may begin as many loads as the
-        pace allows times `overage`, and `extra` more.
+        pace allows times `overage`. Where that is less than one for each,
+        the first load waits for a random part of its time.
         """
         self._elapsed = elapsed
         self._window = window
         self._overage = overage
-        self._extra = extra
+        self._started_at = elapsed()
+        self._phase = (random or Random()).random()
         self._starts: deque[timedelta] = deque(maxlen=64)
 
     def is_ready(self, loads_per_second: float, targets: int) -> bool:
         """Tell whether a load may begin now."""
         seconds = self._window.total_seconds()
-        budget = loads_per_second * seconds * self._overage + self._extra
+        budget = loads_per_second * seconds * self._overage
         part = budget / max(targets, 1)
+        now = self._elapsed()
         if part >= 1:
-            span, most = self._window, int(part)
-        else:
-            span, most = self._window / max(part, 0.01), 1
-        oldest = self._elapsed() - span
-        return sum(start > oldest for start in self._starts) < most
+            oldest = now - self._window * SPAN_FACTOR
+            return sum(start > oldest for start in self._starts) < int(part)
+        span = self._window * SPAN_FACTOR / max(part * CHANCE_PART, LEAST_PART)
+        if now - self._started_at < span * self._phase:
+            return False
+        return not self._starts or now - self._starts[-1] >= span
 
     def note_start(self) -> None:
         """Count a load that begins."""
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,9 +1,11 @@
 """A relaying gateway: what it believes, whom it tells, and its tasks."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
+from itertools import count
 
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
@@ -15,6 +17,7 @@
     ModelSize,
     UsageNotice,
 )
+from verbenamux_http.client import parse_address
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.demand import DemandMeter
@@ -33,10 +36,14 @@
 USAGE_PEERS = 8
 # The planner looks for better places this often.
 PLAN_PERIOD = timedelta(milliseconds=400)
-# Keepers hear again what their engine may hold this often.
-ENGINE_PERIOD = timedelta(seconds=2)
+# Keepers are greeted this often while they are silent, and every so many
+# times while they report.
+ENGINE_PERIOD = timedelta(milliseconds=250)
+GREETING_ROUNDS = 8
 # A peer not heard for this long is not counted as planning.
 PLANNER_SILENCE = timedelta(seconds=1)
+# So many removed targets are remembered by name.
+REMOVED_MOST = 1000
 # Removed targets are kept this long for answers still under way.
 REMOVED_KEPT = timedelta(seconds=10)
 # One in so many targets may be loading a model for the planner at once.
@@ -94,6 +101,8 @@
         self._heard_by_peer: dict[str, timedelta] = {}
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self._moving: set[str] = set()
+        self._removed_ids: OrderedDict[str, None] = OrderedDict()
+        self._rounds = count()
         self.is_stopping = False
 
     def adopt(self, catalog: Catalog) -> None:
@@ -155,7 +164,10 @@
         self.loader.note_change()
 
     def remove_target(self, target_id: str) -> None:
-        """Note that the registry dropped a target."""
+        """Note that a target ended; no keeper's word brings it back."""
+        self._removed_ids[target_id] = None
+        if len(self._removed_ids) > REMOVED_MOST:
+            self._removed_ids.popitem(last=False)
         self.beliefs.book.mark_removed(target_id, self._clock.elapsed())
         self._log('target_removed', target=target_id)
 
@@ -204,15 +216,29 @@
         peers = len(self._peers_by_address)
         return USAGE_PERIOD * max(1, peers / USAGE_PEERS)
 
-    def tell_engines(self) -> None:
-        """Tell keepers what their engines may hold."""
+    def tell_keepers(self) -> None:
+        """Greet keepers, and tell them what their engines may hold.
+
+        A keeper that restarted knows neither, so a silent one is greeted
+        with each call.
+        """
+        is_due = next(self._rounds) % GREETING_ROUNDS == 0
+        now = self._clock.elapsed()
         for target in tuple(self.beliefs.book.by_id.values()):
             engine = self._engine_of(target.entry.service)
             link = self._keeper_link(target.entry.target_id)
-            if engine is not None and link is not None:
+            if engine is None or link is None:
+                continue
+            if is_due or target.has_silent_keeper(now) or not target.report:
                 link.send(KeeperHello(self.setup.instance))
+            if is_due or not self._is_informed(target):
                 link.send(self._engine_notice(target, engine))
 
+    def _is_informed(self, target: Target) -> bool:
+        report = target.report
+        version = self._catalog.version if self._catalog else 0
+        return report is not None and report.notice_version >= version
+
     def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
         """Start the moves that bring models nearer to demand.
 
@@ -323,6 +349,8 @@
         if not isinstance(message, KeeperReport):
             return
         target = self.beliefs.book.by_id.get(message.target_id)
+        if target is None:
+            target = self._introduce(message)
         if target is None:
             return
         now = self._clock.elapsed()
@@ -333,6 +361,30 @@
             self.beliefs.prompts.forget_model(message.target_id, model)
         self.loader.note_change()
 
+    def _introduce(self, message: KeeperReport) -> Target | None:
+        """Take in a target by its keeper's word, ahead of the registry.
+
+        An engine that restarted has a new id at its old address.
+        """
+        engine = self._engine_of(message.service)
+        if engine is None or message.target_id in self._removed_ids:
+            return None
+        address = parse_address(message.address)
+        for other in tuple(self.beliefs.book.by_id.values()):
+            if other.entry.address == address:
+                self.remove_target(other.entry.target_id)
+        self.put_target(
+            TargetEntry(
+                target_id=message.target_id,
+                service=message.service,
+                address=address,
+                data_centre=message.data_centre,
+                slots=engine.slots,
+                models=frozenset(message.models),
+            ),
+        )
+        return self.beliefs.book.by_id[message.target_id]
+
     def _hear(self, _sender: bytes, message: AnyMessage) -> None:
         if not isinstance(message, UsageNotice):
             return
@@ -369,4 +421,5 @@
         total_tokens=message.total_tokens,
         is_ordering=message.is_ordering,
         store_loads_ready=message.store_loads_ready,
+        notice_version=message.notice_version,
     )
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -52,6 +52,7 @@
     total_tokens: int = 0
     is_ordering: bool = False
     store_loads_ready: bool = True
+    notice_version: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/http/test_parsing.py
@@ -0,0 +1,130 @@
+"""Bytes of callers and targets: cut anywhere, broken, or too many."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from verbenamux_http.errors import ExchangeFailure, Fault, RequestError
+from verbenamux_http.parsing import RequestParser, ResponseParser, SizeLimits
+
+LIMITS = SizeLimits(header_bytes=400, body_bytes=100)
+POST = b'POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello'
+CHUNKED = (
+    b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n'
+)
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
+
+
+def parse(*pieces):
+    parser = RequestParser(lambda: LIMITS)
+    for piece in pieces:
+        parser.feed(piece)
+    return parser
+
+
+@given(cut=st.integers(0, len(POST + CHUNKED)))
+def test_requests_cut_anywhere_are_the_same(cut):
+    stream = POST + CHUNKED
+    first, second = parse(stream[:cut], stream[cut:]).complete
+    assert (first.method, first.target, first.body) == (
+        'POST',
+        '/a/b?c',
+        b'hello',
+    )
+    assert second.body == b'hello'
+    assert second.is_chunked
+
+
+@given(noise=st.binary(max_size=200))
+def test_noise_is_a_request_or_a_typed_error(noise):
+    parser = RequestParser(lambda: LIMITS)
+    with contextlib.suppress(RequestError):
+        parser.feed(noise)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'nonsense\r\n\r\n', 400),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+        ),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n'
+            b'Content-Length: 6\r\n\r\nhello',
+            400,
+        ),
+        (b'GET / HTTP/1.1\r\nbroken line\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: h\r\nA: ' + b'x' * 500 + b'\r\n\r\n', 431),
+        (b'GET /' + b'x' * 500 + b' HTTP/1.1\r\n\r\n', 431),
+        (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n', 413),
+    ],
+)
+def test_bad_requests_are_refused_with_their_status(sent, status):
+    with pytest.raises(RequestError) as raised:
+        parse(sent)
+    assert raised.value.status == status
+
+
+def test_chunks_over_the_limit_are_refused():
+    head = b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+    with pytest.raises(RequestError) as raised:
+        parse(head, *[b'32\r\n' + b'x' * 50 + b'\r\n'] * 3)
+    assert raised.value.status == 413
+
+
+@given(cut=st.integers(0, len(ANSWER)))
+def test_answers_cut_anywhere_are_the_same(cut):
+    parser = ResponseParser()
+    parser.feed(ANSWER[:cut])
+    parser.feed(ANSWER[cut:])
+    assert parser.is_complete
+    assert b''.join(parser.pieces) == b'hello'
+    assert not parser.has_surplus
+
+
+@pytest.mark.parametrize('surplus', [b'x', b'HTTP/1.1 200 OK\r\n', ANSWER])
+def test_bytes_behind_an_answer_spoil_its_connection(surplus):
+    parser = ResponseParser()
+    parser.feed(ANSWER + surplus)
+    assert parser.is_complete
+    assert parser.has_surplus
+    assert b''.join(parser.pieces) == b'hello'
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    parser = ResponseParser()
+    parser.feed(b'HTTP/1.1 200 OK\r\n\r\nhel')
+    assert not parser.is_complete
+    parser.feed(b'lo')
+    parser.finish()
+    assert parser.is_complete
+    assert not parser.head.keeps_connection
+
+
+def test_a_close_does_not_end_an_answer_with_a_length():
+    parser = ResponseParser()
+    parser.feed(ANSWER[:-1])
+    parser.finish()
+    assert not parser.is_complete
+
+
+def test_interim_answers_are_passed_over():
+    parser = ResponseParser()
+    parser.feed(b'HTTP/1.1 100 Continue\r\n\r\n' + ANSWER)
+    assert parser.head.status == 200
+    assert parser.is_complete
+
+
+@given(noise=st.binary(min_size=1, max_size=200))
+def test_noise_is_no_whole_answer_or_a_typed_failure(noise):
+    parser = ResponseParser()
+    try:
+        parser.feed(noise)
+    except ExchangeFailure as failure:
+        assert failure.fault is Fault.MALFORMED
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,147 @@
+"""The callers' edge over real sockets on loopback."""
+
+from datetime import timedelta
+
+import gevent
+import pytest
+from gevent import socket
+
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_http.errors import CallerGone
+from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import SizeLimits
+from verbenamux_http.server import Callbacks, EdgeLimits, Listener
+
+GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+LIMITS = EdgeLimits(
+    SizeLimits(4096, 4096),
+    header_time=timedelta(milliseconds=150),
+    idle_time=timedelta(milliseconds=400),
+)
+
+
+class Edge:
+    """A listener whose handler waits for as long as a test says."""
+
+    def __init__(self):
+        self.is_stopping = False
+        self.delay = 0
+        self.gone = 0
+        self.handled = []
+        self.listener = Listener(
+            ('127.0.0.1', 0),
+            Callbacks(
+                handle=self.handle,
+                refuse=lambda error: (Headers(), error.message.encode()),
+                limits=lambda: LIMITS,
+                elapsed=SystemClock().elapsed,
+                is_stopping=lambda: self.is_stopping,
+            ),
+        )
+        self.address = self.listener._server.address
+
+    def handle(self, request, reply):
+        self.handled.append(request.target)
+        try:
+            gevent.sleep(self.delay)
+        except CallerGone:
+            self.gone += 1
+            raise
+        reply.send(200, Headers(), request.target.encode())
+
+    def connect(self):
+        connected = socket.create_connection(self.address)
+        connected.settimeout(2)
+        return connected
+
+
+def read_all(connected):
+    received = b''
+    while piece := connected.recv(4096):
+        received += piece
+    return received
+
+
+@pytest.fixture
+def edge():
+    made = Edge()
+    yield made
+    made.listener.stop_accepting()
+
+
+def test_a_connection_carries_many_requests(edge):
+    caller = edge.connect()
+    for _ in range(3):
+        caller.sendall(GET)
+        assert caller.recv(4096).startswith(b'HTTP/1.1 200')
+
+
+def test_pipelined_requests_are_answered_in_order(edge):
+    caller = edge.connect()
+    caller.sendall(
+        GET.replace(b'/ ', b'/1 ') + GET.replace(b'/ ', b'/2 '),
+    )
+    gevent.sleep(0.1)
+    received = caller.recv(4096)
+    assert received.index(b'/1') < received.index(b'/2')
+
+
+def test_a_caller_that_leaves_is_noticed_at_once(edge):
+    edge.delay = 1
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.05)
+    caller.close()
+    gevent.sleep(0.05)
+    assert edge.gone == 1
+
+
+def test_slow_headers_are_refused_however_they_trickle(edge):
+    caller = edge.connect()
+    for _ in range(4):
+        caller.sendall(b'GET / HTTP/1.1\r\n'[:4])
+        gevent.sleep(0.06)
+    assert read_all(caller).startswith(b'HTTP/1.1 4')
+
+
+def test_an_idle_connection_is_closed_without_a_word(edge):
+    caller = edge.connect()
+    assert read_all(caller) == b''
+
+
+def test_a_refused_body_is_not_read_and_the_answer_arrives(edge):
+    caller = edge.connect()
+    caller.sendall(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n')
+    caller.sendall(b'\r\n' + b'x' * 9000)
+    assert read_all(caller).startswith(b'HTTP/1.1 413')
+    assert not edge.handled
+
+
+def test_a_stop_waits_for_a_request_that_is_still_arriving(edge):
+    """A hunt's finding: the process ended while a body was on its way."""
+    caller = edge.connect()
+    caller.sendall(GET[:-2])
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    edge.listener.close_idle()
+    assert not edge.listener.all_answered.is_set()
+    caller.sendall(GET[-2:])
+    assert b'Connection: close' in read_all(caller)
+    assert edge.listener.all_answered.wait(1)
+
+
+def test_a_connection_is_closed_behind_an_answer_begun_before_the_stop(edge):
+    """A score's finding: it stayed open and took requests until the kill."""
+    edge.delay = 0.1
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+
+
+def test_a_stop_closes_idle_connections(edge):
+    caller = edge.connect()
+    gevent.sleep(0.02)
+    edge.listener.close_idle()
+    assert read_all(caller) == b''
--- /dev/null
+++ b/tests/keeper/test_keeper.py
@@ -0,0 +1,303 @@
+"""Orders to an engine that loses answers, restarts and acts late."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from verbenamux_contracts.clock import ManualClock
+from verbenamux_contracts.messages import (
+    AdapterAsk,
+    EngineNotice,
+    KeeperHello,
+    ModelAsk,
+    ModelSize,
+)
+from verbenamux_keeper.engine import (
+    EnginePort,
+    EngineState,
+    OrderAnswer,
+    OrderKind,
+)
+from verbenamux_keeper.keeper import EnginePlace, Keeper, fits
+from verbenamux_keeper.pacing import StorePace
+
+NOTICE = EngineNotice(
+    version=1,
+    models=tuple(ModelSize(f'm{number}', 70) for number in range(6)),
+    weights_mb=200,
+    adapter_places=3,
+    store_loads_per_second=10,
+    targets=1,
+)
+
+PLACE = EnginePlace('service', '127.0.0.1:1', 'here')
+
+
+class FakeEngine:
+    """An engine that checks every rule an order must keep."""
+
+    def __init__(self, clock, random=None):
+        self.clock = clock
+        self.random = random or Random(0)
+        self.lose = 0.0
+        self.models = {}
+        self.pending = {}
+        self.ready_at = timedelta()
+        self.taken = 0
+        self.started = 1
+        self.highest_token = 0
+        self.tokens = 0
+        self.late = []
+        self.orders = 0
+
+    def port(self):
+        return EnginePort(
+            self.read,
+            lambda: f'engine-{self.started}',
+            self.order,
+            self.new_token,
+        )
+
+    def new_token(self):
+        self.tokens += 1
+        return self.tokens
+
+    def read(self):
+        self.settle()
+        return EngineState(
+            adapters_by_model={
+                model: frozenset(adapters)
+                for model, adapters in self.models.items()
+            },
+            pending=frozenset(self.pending),
+            is_busy=self.clock.elapsed() < self.ready_at,
+            orders_taken=self.taken,
+            started_ms=self.started,
+        )
+
+    def settle(self):
+        now = self.clock.elapsed()
+        for name, ready_at in list(self.pending.items()):
+            if ready_at <= now:
+                del self.pending[name]
+                model, _, adapter = name.partition('/')
+                if model in self.models:
+                    self.models[model].add(adapter)
+
+    def order(self, target_id, token, order):
+        self.settle()
+        self.orders += 1
+        if target_id != f'engine-{self.started}':
+            return OrderAnswer.OTHER_TARGET
+        if token < self.highest_token:
+            return OrderAnswer.FENCED
+        self.highest_token = token
+        if self.lose and self.random.random() < self.lose:
+            if self.random.random() < 0.5:
+                self.late.append(order)
+            elif order.after_orders == self.taken:
+                self.carry_out(order)
+            return OrderAnswer.UNKNOWN
+        if order.after_orders != self.taken:
+            return OrderAnswer.CONFLICT
+        if self.clock.elapsed() < self.ready_at:
+            return OrderAnswer.CONFLICT
+        self.carry_out(order)
+        return OrderAnswer.ACCEPTED
+
+    def act_late(self):
+        for order in self.late:
+            if order.after_orders == self.taken:
+                self.carry_out(order)
+        self.late = []
+
+    def carry_out(self, order):
+        self.taken += 1
+        if order.adapter is not None:
+            self.carry_out_adapter(order)
+        elif order.kind is OrderKind.LOAD:
+            self.models[order.model] = set()
+            self.ready_at = self.clock.elapsed() + timedelta(seconds=1)
+            assert 70 * len(self.models) <= 200, 'the engine crashed'
+        else:
+            self.models.pop(order.model, None)
+
+    def carry_out_adapter(self, order):
+        if order.kind is OrderKind.UNLOAD:
+            self.models[order.model].discard(order.adapter)
+            return
+        name = f'{order.model}/{order.adapter}'
+        self.pending[name] = self.clock.elapsed() + timedelta(milliseconds=9)
+        held = sum(map(len, self.models.values())) + len(self.pending)
+        assert held <= 3, 'the engine crashed'
+
+    def restart(self):
+        self.started += 1
+        self.taken = 0
+        self.highest_token = 0
+        self.models = {}
+        self.pending = {}
+
+
+@pytest.fixture
+def engine(clock):
+    return FakeEngine(clock)
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def keeper(engine, clock, sent):
+    made = Keeper(
+        PLACE,
+        engine.port(),
+        StorePace(clock.elapsed),
+        clock,
+        lambda sender, message: sent.append((sender, message)),
+        lambda event, **fields: None,
+    )
+    made.receive(b'gateway', KeeperHello('gateway'))
+    made.receive(b'gateway', NOTICE)
+    return made
+
+
+def ask(keeper, sent, model, *evict):
+    keeper._answer_model(b'gateway', ModelAsk('ask', model, evict))
+    return sent[-1][1]
+
+
+def ask_adapter(keeper, sent, model, adapter):
+    keeper._answer_adapter(b'gateway', AdapterAsk('ask', model, adapter))
+    return sent[-1][1]
+
+
+def test_a_model_is_loaded_and_told_of(keeper, sent, engine):
+    assert ask(keeper, sent, 'm1').in_place
+    assert set(engine.models) == {'m1'}
+    reports = [message for _, message in sent if hasattr(message, 'models')]
+    assert reports[-1].models == ('m1',)
+
+
+def test_memory_is_never_overrun(keeper, sent, engine, clock):
+    for name in ('m1', 'm2'):
+        assert ask(keeper, sent, name).in_place
+    reply = ask(keeper, sent, 'm3')
+    assert not reply.in_place
+    assert 'room' in reply.cause
+    clock.advance(timedelta(seconds=2))
+    assert ask(keeper, sent, 'm3', 'm1').in_place
+    assert set(engine.models) == {'m2', 'm3'}
+
+
+def test_a_model_that_has_just_come_stays(keeper, sent):
+    for name in ('m1', 'm2'):
+        assert ask(keeper, sent, name).in_place
+    assert 'just come' in ask(keeper, sent, 'm3', 'm2').cause
+
+
+def test_the_least_lately_used_adapter_makes_way(keeper, sent, engine, clock):
+    ask(keeper, sent, 'm1')
+    for name in ('a1', 'a2', 'a3'):
+        assert ask_adapter(keeper, sent, 'm1', name).in_place
+        clock.advance(timedelta(seconds=1))
+    keeper._note_use('m1/a1')
+    clock.advance(timedelta(seconds=1))
+    assert ask_adapter(keeper, sent, 'm1', 'a4').in_place
+    assert engine.models['m1'] == {'a1', 'a3', 'a4'}
+
+
+def test_adapters_in_use_are_not_made_to_go(keeper, sent):
+    ask(keeper, sent, 'm1')
+    for name in ('a1', 'a2', 'a3'):
+        ask_adapter(keeper, sent, 'm1', name)
+    for name in ('a1', 'a2', 'a3'):
+        keeper._note_use(f'm1/{name}')
+    reply = ask_adapter(keeper, sent, 'm1', 'a4')
+    assert not reply.in_place
+    assert 'in use' in reply.cause
+
+
+def test_a_restarted_engine_gets_orders_under_its_new_name(
+    keeper,
+    sent,
+    engine,
+):
+    ask(keeper, sent, 'm1')
+    engine.restart()
+    assert ask(keeper, sent, 'm2').in_place
+    assert set(engine.models) == {'m2'}
+
+
+def test_a_fenced_keeper_takes_a_newer_token(keeper, sent, engine):
+    ask(keeper, sent, 'm1')
+    engine.highest_token = 5
+    engine.tokens = 7
+    assert ask(keeper, sent, 'm2').in_place
+
+
+@pytest.mark.parametrize('seed', range(25))
+def test_lost_and_late_orders_never_overrun_the_engine(seed):
+    """Half of the answers are lost; lost orders act later, or never."""
+    clock = ManualClock()
+    random = Random(seed)
+    engine = FakeEngine(clock, random)
+    engine.lose = 0.5
+    sent = []
+    keeper = Keeper(
+        PLACE,
+        engine.port(),
+        StorePace(clock.elapsed),
+        clock,
+        lambda sender, message: sent.append((sender, message)),
+        lambda event, **fields: None,
+    )
+    keeper.receive(b'gateway', NOTICE)
+    for _ in range(30):
+        clock.advance(timedelta(seconds=random.random() * 3))
+        if random.random() < 0.1:
+            engine.restart()
+        held = sorted(engine.models)
+        evict = random.sample(held, min(len(held), random.randint(0, 2)))
+        ask(keeper, sent, f'm{random.randrange(6)}', *evict)
+        if engine.models and random.random() < 0.5:
+            model = random.choice(sorted(engine.models))
+            ask_adapter(keeper, sent, model, f'a{random.randrange(8)}')
+        if random.random() < 0.5:
+            engine.act_late()
+    assert engine.orders > 20
+
+
+def test_a_model_of_unknown_size_does_not_fit():
+    assert not fits('stranger', EngineState(), NOTICE)
+    held = EngineState(adapters_by_model={'stranger': frozenset()})
+    assert not fits('m1', held, NOTICE)
+
+
+@pytest.mark.parametrize(
+    ('rate', 'targets'),
+    [(1.4, 6), (2.1, 9), (7.5, 26), (0.5, 12), (1.4, 40)],
+)
+def test_all_engines_together_keep_the_pace_of_the_store(rate, targets):
+    """All engines lose their models and load from the store at once."""
+    clock = ManualClock()
+    window = timedelta(seconds=5)
+    paces = [
+        StorePace(clock.elapsed, window, 1.1, Random(number))
+        for number in range(targets)
+    ]
+    starts = []
+    for _ in range(600):
+        clock.advance(timedelta(milliseconds=100))
+        for pace in paces:
+            if pace.is_ready(rate, targets):
+                pace.note_start()
+                starts.append(clock.elapsed())
+    budget = rate * 5 * 1.1 + 3
+    for start in starts:
+        within = [at for at in starts if start <= at <= start + window]
+        assert len(within) <= budget
+    assert len(starts) > 60 * rate / 3
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,118 @@
+"""The store's client against the project's own stand-in."""
+
+from datetime import timedelta
+from random import Random
+
+import gevent
+import pytest
+
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.log import LogFault
+from verbenamux_platform.following import Listening, follow
+from verbenamux_platform.store import keyed_record, open_store, split_keyed
+from verbenamux_runtime.webserver import serve
+from verbenamux_standin.log import log_route
+from verbenamux_standin.web import Faults, make_application
+
+HOUR = timedelta(hours=1)
+WAIT = timedelta(milliseconds=100)
+
+
+@pytest.fixture
+def faults():
+    return Faults()
+
+
+@pytest.fixture
+def store(faults):
+    application = make_application(log_route(SystemClock(), HOUR), faults)
+    server = serve('127.0.0.1:0', application)
+    yield open_store(f'127.0.0.1:{server.server_port}', SystemClock().elapsed)
+    server.stop()
+
+
+def test_records_come_back_in_order(store):
+    assert store.append('topic', b'a', b'').unwrap() == 0
+    assert store.append('topic', b'c').unwrap() == 2
+    batch = store.read('topic', 0).unwrap()
+    assert batch.bodies == (b'a', b'', b'c')
+    assert batch.reaches_end
+    assert store.read('topic', 2).unwrap().bodies == (b'c',)
+
+
+def test_a_read_waits_for_the_first_record(store):
+    gevent.spawn_later(0.05, store.append, 'topic', b'late')
+    batch = store.read('topic', 0, timedelta(seconds=2)).unwrap()
+    assert batch.bodies == (b'late',)
+    assert store.read('topic', 1, WAIT).unwrap().bodies == ()
+
+
+def test_expired_records_name_what_is_kept(store):
+    store.append('topic', b'a', b'b', b'c')
+    store._call('POST', '/api/log-trim?topic=topic&part=0&before=2')
+    failure = store.read('topic', 0).failure()
+    assert failure.fault is LogFault.EXPIRED
+    assert failure.first_offset == 2
+
+
+def test_a_lost_answer_is_unanswered_and_may_have_been_done(store, faults):
+    faults.lose_answers = 1
+    failure = store.append('topic', b'a').failure()
+    assert failure.fault is LogFault.UNANSWERED
+    assert store.read('topic', 0).unwrap().bodies == (b'a',)
+
+
+def test_the_newest_of_each_key_is_kept_over_pages(store):
+    records = [keyed_record(f'k{number:04}', b'1') for number in range(1200)]
+    store.append('keyed.topic', *records)
+    store.append('keyed.topic', keyed_record('k0000', b'2'))
+    store.append('keyed.topic', keyed_record('k0001', b''))
+    found = store.newest('keyed.topic').unwrap()
+    content_by_key = {record.key: record.content for record in found.records}
+    assert len(content_by_key) == 1199
+    assert content_by_key['k0000'] == b'2'
+    assert found.end_offset == 1202
+
+
+@pytest.mark.parametrize('record', [b'', b'\x05ab', b'\x02\xff\xfeabc'])
+def test_a_misshapen_keyed_record_is_none(record):
+    assert split_keyed(record) is None
+
+
+def test_following_survives_a_store_that_forgets_and_fails(store, faults):
+    seen = {}
+    currents = []
+    troubles = []
+
+    def on_record(record):
+        seen[record.key] = record.content
+
+    def on_snapshot(records):
+        for record in records:
+            on_record(record)
+
+    store.append('keyed.t', keyed_record('a', b'1'))
+    listening = Listening(
+        'keyed.t',
+        on_snapshot,
+        on_record,
+        currents.append,
+        troubles.append,
+        WAIT,
+    )
+    task = gevent.spawn(follow, store, listening, SystemClock(), Random(1))
+    gevent.sleep(0.1)
+    assert seen == {'a': b'1'}
+    faults.down = True
+    gevent.sleep(0.5)
+    assert troubles
+    faults.down = False
+    store.append('keyed.t', keyed_record('a', b'2'), keyed_record('b', b'3'))
+    store._call('POST', '/api/log-trim?topic=keyed.t&part=0&before=99')
+    gevent.sleep(1.2)
+    assert seen == {'a': b'2', 'b': b'3'}
+    store.append('keyed.t', keyed_record('b', b''))
+    gevent.sleep(0.3)
+    assert seen['b'] is None
+    assert currents == sorted(currents)
+    task.kill()
--- /dev/null
+++ b/tests/relay/test_decisions.py
@@ -0,0 +1,193 @@
+"""Choice, refusal, repeats and routes, decided without input or output."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from verbenamux_relay.catalog import (
+    Catalog,
+    Route,
+    RouteKind,
+    Share,
+    pick_share,
+    routes_by_host,
+)
+from verbenamux_relay.choosing import Option, choose, preferred
+from verbenamux_relay.events import EventSplitter
+from verbenamux_relay.repeats import RepeatBudget
+from verbenamux_relay.waiting import (
+    Outlook,
+    Verdict,
+    judge,
+    retry_after,
+    urgency,
+)
+
+SECOND = timedelta(seconds=1)
+
+
+def option(name='t1', **details):
+    known = {
+        'is_local': True,
+        'waiting_tokens': 0,
+        'missing_tokens': 3000,
+        'tokens_per_second': 38000.0,
+    }
+    return Option(name, **(known | details))
+
+
+def test_a_kept_prompt_outweighs_a_short_wait():
+    kept = option('kept', missing_tokens=3000, waiting_tokens=4000)
+    idle = option('idle', missing_tokens=9000)
+    assert choose((kept, idle), 'prompt') is kept
+
+
+def test_a_long_wait_outweighs_a_kept_prompt():
+    kept = option('kept', missing_tokens=3000, waiting_tokens=20000)
+    idle = option('idle', missing_tokens=9000)
+    assert choose((kept, idle), 'prompt') is idle
+
+
+@pytest.mark.parametrize(
+    'worse',
+    [
+        {'failure_rate': 0.4},
+        {'is_local': False, 'body_bytes': 18_000},
+        {'lacks_adapter': True},
+        {'overflow_tokens': 20_000},
+        {'is_unwatched': True},
+    ],
+)
+def test_what_speaks_against_a_target_costs(worse):
+    assert choose((option('bad', **worse), option('good')), 'x').target_id == (
+        'good'
+    )
+
+
+def test_an_engine_that_loads_a_model_takes_no_adapter_soon():
+    loading = option('loading', lacks_adapter=True, is_ordering=True)
+    behind = option('behind', lacks_adapter=True, waiting_tokens=30_000)
+    assert choose((loading, behind), 'x') is behind
+
+
+@given(st.lists(st.text(min_size=1), min_size=1, unique=True), st.randoms())
+def test_all_gateways_prefer_the_same_target(names, random):
+    shuffled = list(names)
+    random.shuffle(shuffled)
+    assert preferred('prompt', names) == preferred('prompt', shuffled)
+
+
+@pytest.mark.parametrize(
+    ('predicted', 'verdict'),
+    [
+        (0.1, Verdict.SEND),
+        (0.9, Verdict.SEND),
+        (1.2, Verdict.REFUSE),
+        (9, Verdict.REFUSE),
+    ],
+)
+def test_what_would_be_far_too_late_is_refused_at_once(predicted, verdict):
+    """A burst: prompts come faster than engines read them."""
+    outlook = Outlook(SECOND * predicted, SECOND * 6, SECOND * 0.8)
+    assert judge(outlook) is verdict
+
+
+def test_a_request_with_little_time_left_is_refused_sooner():
+    assert judge(Outlook(SECOND * 0.5, SECOND * 0.7, SECOND)) is Verdict.REFUSE
+
+
+def test_callers_refused_together_do_not_return_together():
+    random = Random(1)
+    waits = {retry_after(SECOND, SECOND * 60, random) for _ in range(50)}
+    assert len(waits) > 40
+    assert all(SECOND <= wait <= SECOND * 1.5 for wait in waits)
+
+
+def test_nobody_is_told_to_wait_longer_than_it_would():
+    wait = retry_after(SECOND * 3, SECOND * 1.5, Random(1))
+    assert wait <= SECOND * 0.5
+
+
+@pytest.mark.parametrize(
+    ('workspace', 'route', 'rank'),
+    [(None, 0, 0), (None, 12, 9), (0, 2, 1), (1, 0, 2), (1, 1, 3), (7, 1, 9)],
+)
+def test_a_workspaces_rank_goes_before_a_routes(workspace, route, rank):
+    assert urgency(workspace, route) == rank
+
+
+def test_repeats_stay_within_their_part_of_the_requests(clock):
+    """Every target fails: each request would be sent a second time."""
+    budget = RepeatBudget(clock.elapsed, SECOND * 10, 0.2, 10)
+    taken = 0
+    for _ in range(1000):
+        budget.note_first()
+        taken += budget.take()
+        clock.advance(timedelta(milliseconds=10))
+    assert taken <= 0.2 * 1000 + 10
+    assert taken > 100
+
+
+def test_old_requests_give_no_budget(clock):
+    budget = RepeatBudget(clock.elapsed, SECOND * 10, 0.2, 0)
+    for _ in range(100):
+        budget.note_first()
+    assert budget.take()
+    clock.advance(SECOND * 11)
+    assert not budget.take()
+
+
+def route(prefix, name='r'):
+    return Route(
+        name,
+        'Host.Example',
+        prefix,
+        RouteKind.IDEMPOTENT,
+        SECOND,
+        SECOND,
+        (Share('s', 1),),
+    )
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'found'),
+    [
+        ('host.example', '/a/b/c', 'long'),
+        ('HOST.example:80', '/a/x', 'short'),
+        ('host.example', '/a/b', 'short'),
+        ('host.example', '/b/?/a/b/', None),
+        ('other', '/a/', None),
+    ],
+)
+def test_the_longest_prefix_wins(host, path, found):
+    routes = routes_by_host([route('/a/', 'short'), route('/a/b/', 'long')])
+    known = Catalog(1, routes, {})
+    matched = known.route_for(host, path)
+    assert (matched.name if matched else None) == found
+
+
+def test_shares_follow_their_weights():
+    shares = (Share('a', 90), Share('b', 10))
+    drawn = [pick_share(shares, number / 1000) for number in range(1000)]
+    assert drawn.count('a') == 900
+    assert pick_share(shares, 0.9999999) == 'b'
+
+
+STREAM = b'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndat'
+
+
+@given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=6))
+def test_events_cut_anywhere_come_whole_and_once(cuts):
+    splitter = EventSplitter()
+    events = []
+    start = 0
+    for cut in [*sorted(cuts), len(STREAM)]:
+        events.extend(splitter.feed(STREAM[start:cut]))
+        start = cut
+    assert [event.event_id for event in events] == ['1', '2', None]
+    rest = splitter.take_rest()
+    assert rest == b'id: 4\ndat'
+    assert b''.join(event.encoded for event in events) + rest == STREAM
--- /dev/null
+++ b/tests/relay/test_placing.py
@@ -0,0 +1,130 @@
+"""Load patterns replayed against the decisions on where models live."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from verbenamux_relay.catalog import EngineTerms, ModelTerms
+from verbenamux_relay.placing import Demand, Holding, Move, place, plan
+
+BUSY = ('busy-1', 'busy-2')
+RARE = tuple(f'rare-{number}' for number in range(10))
+
+
+def terms(weights_mb=200.0):
+    models = {
+        name: ModelTerms(
+            name,
+            70,
+            timedelta(seconds=4),
+            timedelta(seconds=0.8),
+            timedelta(seconds=0.6),
+        )
+        for name in BUSY + RARE
+    }
+    return EngineTerms(64, 280_000, weights_mb, 8, 1.4, models)
+
+
+def demand(waiting=None, recent=None):
+    return Demand(waiting or {}, recent or {})
+
+
+def target(name, *models, **details):
+    return Holding(name, frozenset(models), **details)
+
+
+def test_a_rare_model_takes_the_place_of_what_is_asked_for_least():
+    holdings = (
+        target('t1', *BUSY),
+        target('t2', 'busy-1', 'rare-1'),
+        target('t3', 'busy-2', 'rare-2'),
+    )
+    recent = {'busy-1': 10, 'busy-2': 6, 'rare-1': 0.2, 'rare-2': 0.1}
+    move = place('rare-3', holdings, terms(150), demand(recent=recent))
+    assert move.target_id == 't3'
+    assert move.evict == ('rare-2',)
+
+
+def test_a_target_with_a_copy_on_its_disk_is_preferred():
+    holdings = (
+        target('t1', 'rare-1', 'rare-2'),
+        target('t2', 'rare-3', 'rare-4', on_disk=frozenset(('rare-5',))),
+    )
+    move = place('rare-5', holdings, terms(150), demand())
+    assert move.target_id == 't2'
+    assert not move.is_cold
+    assert move.load_time == timedelta(seconds=0.8)
+
+
+def test_a_cold_load_waits_where_the_pace_of_the_store_is_spent():
+    holdings = (target('t1', may_load_cold=False),)
+    assert place('rare-1', holdings, terms(), demand()) is None
+
+
+def test_a_target_that_loads_takes_no_second_order():
+    holdings = (target('t1', loading='rare-2'),)
+    assert place('rare-1', holdings, terms(), demand()) is None
+
+
+def test_a_model_of_unknown_size_is_never_reckoned_with():
+    holdings = (target('t1', 'stranger'),)
+    assert place('rare-1', holdings, terms(), demand()) is None
+    assert place('stranger', holdings, terms(), demand()) is None
+
+
+def test_busy_models_that_only_generate_leave_rare_ones_in_place():
+    """A score's finding: all in flight counted, and copies took all places.
+
+    Dozens of requests are being answered, none waits for its first event.
+    """
+    holdings = (
+        target('t1', 'busy-1', 'rare-1'),
+        target('t2', 'busy-2', 'rare-2'),
+        target('t3', 'busy-1', 'rare-3'),
+    )
+    recent = {'busy-1': 12.0, 'busy-2': 8.0, 'rare-1': 0.1}
+    moves = plan(holdings, terms(150), demand(recent=recent))
+    assert not list(moves)
+
+
+def test_a_shift_of_demand_spreads_the_rising_model():
+    """One copy, and its requests wait: others must get it, one move each."""
+    holdings = tuple(
+        target(f't{number}', 'busy-1', f'rare-{number}') for number in range(6)
+    )
+    holdings = (replace(holdings[0], models=frozenset(BUSY)), *holdings[1:])
+    wanted = demand(
+        waiting={'busy-2': 20},
+        recent={'busy-1': 0.5, 'busy-2': 14.0},
+    )
+    moves = list(plan(holdings, terms(150), wanted))
+    assert {move.model for move in moves} == {'busy-2'}
+    targets = [move.target_id for move in moves]
+    assert len(targets) == len(set(targets)) >= 3
+    assert all('busy-2' not in move.evict for move in moves)
+
+
+def test_empty_targets_are_filled_at_once_by_what_is_wanted():
+    """After a loss of power every engine is empty, with copies on disk."""
+    disk = frozenset(BUSY + RARE[:3])
+    holdings = tuple(target(f't{number}', on_disk=disk) for number in range(4))
+    wanted = demand(waiting={'busy-1': 9, 'busy-2': 6, 'rare-1': 1})
+    moves = list(plan(holdings, terms(), wanted))
+    assert {move.target_id for move in moves} == {'t0', 't1', 't2', 't3'}
+    assert [move.model for move in moves][:2] == ['busy-1', 'busy-2']
+
+
+def test_nothing_is_fetched_from_the_store_that_nobody_asked_for():
+    assert not list(plan((target('t1'),), terms(), demand()))
+
+
+@pytest.mark.parametrize('count', [1, 3, 12])
+def test_every_gateway_decides_alike(count):
+    holdings = tuple(target(f't{number}') for number in range(count))
+    moves = {
+        place('rare-1', holdings, terms(), demand()),
+        place('rare-1', holdings[::-1], terms(), demand()),
+    }
+    assert len(moves) == 1
+    assert isinstance(moves.pop(), Move)
--- /dev/null
+++ b/tests/relay/test_relaying.py
@@ -0,0 +1,426 @@
+"""One request through a gateway to targets over real sockets on loopback."""
+
+from datetime import timedelta
+from itertools import count
+from random import Random
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_http.client import ConnectionPool
+from verbenamux_http.errors import CallerGone
+from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import Request, RequestParser, SizeLimits
+from verbenamux_platform.dialect import platform_dialect
+from verbenamux_relay.allowance import Allowance
+from verbenamux_relay.catalog import (
+    Catalog,
+    EngineTerms,
+    ModelTerms,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    Workspace,
+    routes_by_host,
+)
+from verbenamux_relay.demand import DemandMeter
+from verbenamux_relay.loading import Loader
+from verbenamux_relay.picking import Beliefs, PaceBook
+from verbenamux_relay.prompts import PromptMemory
+from verbenamux_relay.relaying import RelayTools, relay
+from verbenamux_relay.repeats import RepeatBudget
+from verbenamux_relay.sending import SendTools
+from verbenamux_relay.settling import Knowledge, SettleTools
+from verbenamux_relay.targets import TargetBook, TargetEntry
+from verbenamux_runtime.metrics import Metrics
+
+SECOND = timedelta(seconds=1)
+SIZES = SizeLimits(65536, 65536)
+PROOF = b'Server-Signature: proof\r\n'
+DONE = b'HTTP/1.1 200 OK\r\n%bContent-Length: 4\r\n\r\ndone' % PROOF
+FULL = b'HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+FAILED = b'HTTP/1.1 500 No\r\n%bContent-Length: 3\r\n\r\nbad' % PROOF
+OTHER = b'HTTP/1.1 421 No\r\nInstance-Id: someone\r\nContent-Length: 0\r\n\r\n'
+STREAM_HEAD = b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n' % PROOF
+
+
+def event(number):
+    encoded = b'id: %d\ndata: x\n\n' % number
+    return b'%x\r\n%b\r\n' % (len(encoded), encoded)
+
+
+class FakeTarget:
+    """A target that gives each request the next of its answers.
+
+    An answer may be a list of pieces; `None` ends the connection there.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.server = StreamServer(('127.0.0.1', 0), self.serve)
+        self.server.start()
+
+    def serve(self, opened, _peer):
+        parser = RequestParser(lambda: SIZES)
+        while piece := opened.recv(65536):
+            parser.feed(piece)
+            while parser.complete:
+                self.requests.append(parser.complete.popleft())
+                if not self.answer(opened):
+                    opened.close()
+                    return
+
+    def answer(self, opened):
+        answer = self.answers.pop(0) if self.answers else None
+        for piece in answer if isinstance(answer, list) else [answer]:
+            if piece is None:
+                return False
+            opened.sendall(piece)
+            gevent.sleep(0.01)
+        return True
+
+
+class FakeReply:
+    """Collects what a caller would get."""
+
+    def __init__(self):
+        self.is_started = False
+        self.is_complete = False
+        self.status = None
+        self.headers = Headers()
+        self.body = b''
+
+    def send(self, status, headers, body):
+        self.start(status, headers)
+        self.body = body
+        self.is_complete = True
+
+    def start(self, status, headers):
+        assert not self.is_started
+        self.is_started = True
+        self.status = status
+        self.headers = headers
+
+    def send_piece(self, piece):
+        self.body += piece
+
+    def finish(self):
+        self.is_complete = True
+
+
+class World:
+    """A gateway's tools over some targets and one route."""
+
+    def __init__(self, *targets, kind=RouteKind.IDEMPOTENT, **route):
+        self.clock = SystemClock()
+        self.lines = []
+        self.trusted = True
+        self.book = TargetBook()
+        self.targets = {}
+        for number, target in enumerate(targets):
+            self.targets[f't{number}'] = target
+            self.book.put(
+                TargetEntry(
+                    f't{number}',
+                    'service',
+                    target.server.address,
+                    'here',
+                    8,
+                ),
+            )
+        self.route = Route(
+            'r',
+            'host',
+            '/',
+            kind,
+            SECOND,
+            SECOND * 0.3,
+            (Share('service', 1),),
+            **({'attempts_most': 2} | route),
+        )
+        self.workspace = Workspace('w', frozenset(('key',)))
+        self.service = Service('service', '/health', 100)
+        self.allowance = Allowance(self.clock.elapsed)
+        self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
+
+    def knowledge(self):
+        catalog = Catalog(
+            1,
+            routes_by_host([self.route]),
+            {'service': self.service},
+            dict.fromkeys(self.workspace.keys, self.workspace),
+            has_workspaces=True,
+        )
+        return Knowledge(catalog, timedelta(), self.trusted)
+
+    def log(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def tools(self):
+        dialect = platform_dialect()
+        clock = self.clock
+        pool = ConnectionPool(clock.elapsed)
+
+        def on_first_event(job, _target, sent):
+            sent.is_started = True
+            job.first_event_at = job.first_event_at or clock.elapsed()
+
+        demand = DemandMeter(clock.elapsed)
+        return RelayTools(
+            sending=SendTools(clock, pool, dialect, on_first_event),
+            settling=SettleTools(
+                clock,
+                dialect,
+                self.allowance,
+                Metrics(),
+                Random(1),
+                self.knowledge,
+                self.log,
+            ),
+            beliefs=Beliefs(self.book, PromptMemory(), PaceBook(), 'here'),
+            loader=Loader(
+                self.book,
+                lambda _target: None,
+                clock,
+                self.log,
+                demand.current,
+            ),
+            demand=demand,
+            budget_of=lambda _service: self.budget,
+            sequence=count(1),
+        )
+
+    def ask(self, headers=(), key='key', body=b''):
+        fields = {
+            'Host': 'host',
+            'Attempt-Id': 'id-1',
+            'Deadline-Ms': '900',
+            'Authorization': f'Bearer {key}',
+        } | dict(headers)
+        if body:
+            fields['Content-Length'] = str(len(body))
+        request = Request(
+            'POST',
+            '/path?query',
+            Headers(tuple(fields.items())),
+            body,
+            is_chunked=False,
+            keeps_connection=True,
+        )
+        reply = FakeReply()
+        relay(request, reply, self.tools())
+        return reply
+
+    def sent(self):
+        return [
+            request
+            for target in self.targets.values()
+            for request in target.requests
+        ]
+
+
+def test_an_answer_passes_unchanged():
+    world = World(FakeTarget(DONE))
+    reply = world.ask(body=b'bytes')
+    assert (reply.status, reply.body) == (200, b'done')
+    assert reply.headers.get('Server-Signature') == 'proof'
+    request = world.sent()[0]
+    assert (request.method, request.target, request.body) == (
+        'POST',
+        '/path?query',
+        b'bytes',
+    )
+
+
+def test_a_target_gets_the_workspace_and_never_the_key():
+    world = World(FakeTarget(DONE))
+    world.ask({'Tenant': 'forged', 'Hold': 'mine', 'Kv-From': 'there'})
+    headers = world.sent()[0].headers
+    assert headers.get('Tenant') == 'w'
+    assert headers.get('Expected-Instance') == 't0'
+    assert headers.get('Authorization') is None
+    assert headers.get('Hold') is None
+    assert headers.get('Kv-From') is None
+    assert int(headers.get('Deadline-Ms')) <= 900
+
+
+@pytest.mark.parametrize('refusal', [FULL, OTHER])
+@pytest.mark.parametrize(
+    'kind',
+    [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT],
+)
+def test_what_did_not_run_goes_to_another_target(refusal, kind):
+    world = World(FakeTarget(refusal), FakeTarget(refusal, DONE), kind=kind)
+    world.targets['t1'].answers = [DONE]
+    reply = world.ask()
+    assert reply.status == 200
+
+
+def test_only_what_may_be_repeated_is_sent_again_after_a_lost_answer():
+    for kind, status in (
+        (RouteKind.IDEMPOTENT, 200),
+        (RouteKind.NON_IDEMPOTENT, 502),
+    ):
+        world = World(FakeTarget(None, DONE), FakeTarget(None, DONE), kind=kind)
+        world.targets['t1'].answers = [DONE]
+        world.targets['t0'].answers = [None]
+        outcomes = {world.ask().status for _ in range(1)}
+        if len(world.sent()) == 1 and outcomes == {200}:
+            continue
+        assert outcomes == {status}
+
+
+def test_a_request_that_may_have_run_is_never_said_not_to_have():
+    world = World(
+        FakeTarget(None),
+        FakeTarget(FULL),
+        kind=RouteKind.NON_IDEMPOTENT,
+        attempts_most=1,
+    )
+    for target in world.targets.values():
+        target.answers = [None]
+    assert world.ask().status == 502
+    assert len(world.sent()) == 1
+
+
+def test_full_targets_are_an_honest_refusal_with_a_time():
+    world = World(FakeTarget(FULL), FakeTarget(FULL))
+    reply = world.ask()
+    assert reply.status == 503
+    assert 0 < float(reply.headers.get('Retry-After')) <= 0.5
+
+
+def test_a_targets_failure_is_repeated_then_passed_on():
+    world = World(FakeTarget(FAILED), FakeTarget(FAILED))
+    reply = world.ask()
+    assert (reply.status, reply.body) == (500, b'bad')
+    assert len(world.sent()) == 2
+
+
+def test_without_budget_nothing_is_repeated():
+    world = World(FakeTarget(FAILED), FakeTarget(FAILED))
+    world.budget = RepeatBudget(world.clock.elapsed, SECOND, 0, 0)
+    assert world.ask().status == 500
+    assert len(world.sent()) == 1
+
+
+def test_an_answer_to_another_request_is_not_passed_on():
+    crossed = DONE.replace(PROOF, PROOF + b'Attempt-Id: other\r\n')
+    world = World(FakeTarget(crossed), attempts_most=1)
+    assert world.ask().status == 502
+
+
+def test_a_success_without_proof_is_not_passed_on():
+    world = World(FakeTarget(DONE.replace(PROOF, b'')), attempts_most=1)
+    assert world.ask().status == 502
+
+
+def test_a_stream_is_resumed_behind_its_last_whole_event():
+    broken = [STREAM_HEAD, event(1), event(2), b'5\r\nid: 3', None]
+    rest = [STREAM_HEAD, event(3), event(4), b'0\r\n\r\n']
+    world = World(
+        FakeTarget(broken),
+        FakeTarget(rest),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    world.book.by_id['t1'].failure_rate = 0.5
+    reply = world.ask()
+    assert reply.is_complete
+    assert reply.body == b''.join(
+        b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3, 4)
+    )
+    resumed = world.targets['t1'].requests[0]
+    assert resumed.headers.get('Last-Event-Id') == '2'
+
+
+def test_a_stream_that_can_not_be_resumed_never_looks_complete():
+    broken = [STREAM_HEAD, event(1), None]
+    world = World(FakeTarget(broken), kind=RouteKind.STREAMING)
+    reply = world.ask()
+    assert reply.is_started
+    assert not reply.is_complete
+
+
+@pytest.mark.parametrize(
+    ('key', 'trusted', 'status'),
+    [('wrong', True, 401), ('key', False, 503), ('key', True, 200)],
+)
+def test_keys_count_only_while_they_are_confirmed(key, trusted, status):
+    world = World(FakeTarget(DONE))
+    world.trusted = trusted
+    assert world.ask(key=key).status == status
+
+
+def test_a_key_unsure_by_the_time_of_a_send_ends_the_request():
+    """A score's finding: the gateway tried for ever without yielding."""
+    world = World(FakeTarget(FULL), FakeTarget(FULL))
+    original = FakeTarget.answer
+
+    def lose_trust(self, opened):
+        world.trusted = False
+        return original(self, opened)
+
+    for target in world.targets.values():
+        target.answer = lose_trust.__get__(target)
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.status == 503
+    assert len(world.sent()) == 1
+
+
+def test_a_limit_is_charged_and_given_back_when_nothing_ran():
+    world = World(FakeTarget(FULL), FakeTarget(FULL))
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 1, 2)
+    assert world.ask().status == 503
+    assert world.allowance.spent_by_workspace['w'] == 0
+
+
+def test_over_the_limit_is_a_429_with_a_time():
+    world = World(FakeTarget(DONE, DONE))
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 0.1, 1)
+    assert world.ask().status == 200
+    reply = world.ask()
+    assert reply.status == 429
+    assert reply.headers.get('Retry-After')
+
+
+def test_a_model_nobody_can_load_is_refused_before_the_caller_leaves():
+    model = ModelTerms('m', 1, SECOND, SECOND, SECOND)
+    engine = EngineTerms(1, 1, 1, 1, 1, {'m': model})
+    world = World(FakeTarget(DONE))
+    world.service = Service('service', '/health', 1, engine)
+    started = world.clock.elapsed()
+    reply = world.ask({'Model': 'm'})
+    assert reply.status == 503
+    assert world.clock.elapsed() - started < SECOND
+
+
+def test_a_caller_that_leaves_ends_the_send():
+    world = World(FakeTarget([b'HTTP/1.1 ', b'']))
+    asking = gevent.spawn(world.ask)
+    gevent.sleep(0.05)
+    asking.kill(CallerGone, block=True)
+    assert not world.book.by_id['t0'].in_flight
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        {'Deadline-Ms': 'soon'},
+        {'Deadline-Ms': '9' * 30},
+        {'Token-Usage': '12'},
+        {'Token-Usage': '-1,2'},
+        {'Prompt-Prefix': 'abc'},
+        {'Prompt-Prefix': 'abc:x'},
+        {'Attempt-Id': ''},
+    ],
+)
+def test_misshapen_fields_are_the_callers_error(header):
+    world = World(FakeTarget(DONE))
+    assert world.ask(header).status == 400
+    assert not world.sent()
