--- a/libs/ctl/src/verbenamux_ctl/cli.py
+++ b/libs/ctl/src/verbenamux_ctl/cli.py
@@ -148,19 +148,27 @@
 
 
 @app.command()
-def explain(request_id: str, file: Path) -> None:
-    """Tell from a gateway's log file why a request went where it did.
+def explain(
+    request_id: str,
+    files: list[Path],
+    as_json: Annotated[
+        bool,
+        typer.Option('--json', help='Print the lines themselves, in order'),
+    ] = False,
+) -> None:
+    """Tell from log files of several processes what became of a request.
 
-    Example: verbenamuxctl explain req-0123 gateway.log
+    Example: verbenamuxctl explain req-0123 gateway-0.log gateway-1.log
     """
-    sentences = list(
-        explaining.explain(explaining.read_lines(file, request_id)),
-    )
+    lines = explaining.join_lines(files, request_id)
+    told = explaining.as_json(lines) if as_json else explaining.explain(lines)
+    sentences = list(told)
     if not sentences:
+        names = ', '.join(map(str, files))
         raise exit_with(
             CommandFailure(
                 CommandError.NOT_FOUND,
-                f'{file} tells nothing of {request_id}',
+                f'{names}: nothing is told of {request_id}',
             ),
         )
     for sentence in sentences:
--- a/libs/ctl/src/verbenamux_ctl/explaining.py
+++ b/libs/ctl/src/verbenamux_ctl/explaining.py
@@ -1,5 +1,6 @@
-"""Telling in words, from a log file, why a request went where it did."""
+"""Telling in words, from log files, what became of a request and why."""
 
+import itertools
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
@@ -10,19 +11,38 @@
 
 
 def read_lines(path: Path, request_id: str) -> Iterator[Line]:
-    """Yield the log lines of one request; other text is passed over."""
+    """Yield the log lines of one request; other text is passed over.
+
+    What stands before the first brace of a line, such as a collector's
+    time and host, is passed over too.
+    """
     with path.open('rb') as log_file:
         for raw in log_file:
-            if request_id.encode() not in raw:
+            start = raw.find(b'{')
+            if start < 0 or request_id.encode() not in raw:
                 continue
             try:
-                line = msgspec.json.decode(raw)
+                line = msgspec.json.decode(raw[start:])
             except msgspec.MsgspecError:
                 continue
             if line.get('request_id') == request_id:
                 yield line
 
 
+def join_lines(paths: Iterable[Path], request_id: str) -> list[Line]:
+    """Return a request's lines from several files, in order of time."""
+    lines = itertools.chain.from_iterable(
+        read_lines(path, request_id) for path in paths
+    )
+    return sorted(lines, key=lambda line: str(line.get('time')))
+
+
+def as_json(lines: Iterable[Line]) -> Iterator[str]:
+    """Yield each line as JSON."""
+    for line in lines:
+        yield msgspec.json.encode(line).decode()
+
+
 def explain(lines: Iterable[Line]) -> Iterator[str]:
     """Yield one sentence for each line that tells of a decision."""
     for line in lines:
@@ -67,9 +87,49 @@
     )
 
 
+def _tell_early_refusal(line: Line) -> str:
+    return (
+        f'{line["instance"]} refused the request with {line["status"]} before '
+        f'any send: {line["cause"]}; it knew configuration '
+        f'{line["catalog_version"]}, confirmed {line["catalog_age_ms"]} ms ago'
+    )
+
+
+def _tell_target_failure(line: Line) -> str:
+    return (
+        f'target {line["target"]} failed it: {line["cause"]}; the target has '
+        f'now failed {line["in_row"]} times in a row, at a rate of '
+        f'{line["failure_rate"]}'
+    )
+
+
+def _tell_end(line: Line) -> str:
+    told = (
+        f'at {line["instance"]} the request on route {line["route"]} for '
+        f'{line["model"].strip("/") or "no model"} ended as '
+        f'{line["outcome"]}{_because(line["cause"])} after '
+        f'{line["total_ms"]} ms: {line["sends"]} sends reached a target, '
+        f'{line["runs"]} may have run in vain, {line["events"]} events went '
+        f'to the caller; first send after {line["wait_ms"]} ms; '
+        f'configuration {line["catalog_version"]}, confirmed '
+        f'{line["catalog_age_ms"]} ms before the end'
+    )
+    steps = line['steps']
+    if isinstance(steps, list) and steps:
+        return f'{told}; steps: {"; ".join(steps)}'
+    return told
+
+
+def _because(cause: str) -> str:
+    return f' ({cause})' if cause else ''
+
+
 TELLER_BY_EVENT: dict[str, Callable[[Line], str]] = {
     'route': _tell_route,
     'attempt_failed': _tell_failure,
     'outcome': _tell_outcome,
     'refused': _tell_refusal,
+    'request_refused': _tell_early_refusal,
+    'target_failed': _tell_target_failure,
+    'request_ended': _tell_end,
 }
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -14,6 +14,7 @@
     EngineNotice,
     KeeperHello,
     KeeperReport,
+    Message,
     ModelSize,
     UsageNotice,
 )
@@ -225,14 +226,17 @@
         is_due = next(self._rounds) % GREETING_ROUNDS == 0
         now = self._clock.elapsed()
         for target in tuple(self.beliefs.book.by_id.values()):
+            is_silent = not target.report or target.has_silent_keeper(now)
+            if is_due or is_silent:
+                self._tell_keeper(target, KeeperHello(self.setup.instance))
             engine = self._engine_of(target.entry.service)
-            link = self._keeper_link(target.entry.target_id)
-            if engine is None or link is None:
-                continue
-            if is_due or target.has_silent_keeper(now) or not target.report:
-                link.send(KeeperHello(self.setup.instance))
-            if is_due or not self._is_informed(target):
-                link.send(self._engine_notice(target, engine))
+            if engine and (is_due or not self._is_informed(target)):
+                self._tell_keeper(target, self._engine_notice(target, engine))
+
+    def _tell_keeper(self, target: Target, message: Message) -> None:
+        link = self._keeper_link(target.entry.target_id)
+        if link is not None:
+            link.send(message)
 
     def _is_informed(self, target: Target) -> bool:
         report = target.report
@@ -263,6 +267,29 @@
             if not is_full and move.target_id not in self._moving:
                 yield move
 
+    def measure(self) -> None:
+        """Set the gauges that tell what this gateway believes, and how old."""
+        known = self.knowledge()
+        gauge = self.metrics.gauge
+        gauge('catalog_version', known.catalog.version if known.catalog else 0)
+        gauge('catalog_age_seconds', known.confirmed_for.total_seconds())
+        gauge('peers_silent', self.allowance.silent_peers())
+        for name, level in self._target_levels():
+            gauge(name, level)
+        for service, budget in self._budget_by_service.items():
+            gauge('repeats_left', budget.left(), service=service)
+        for workspace, left in self.allowance.levels().items():
+            gauge('allowance_left', left, workspace=workspace)
+
+    def _target_levels(self) -> Iterator[tuple[str, int]]:
+        now = self._clock.elapsed()
+        targets = tuple(self.beliefs.book.by_id.values())
+        yield 'targets', sum(is_serving(target, now) for target in targets)
+        silent = sum(target.has_silent_keeper(now) for target in targets)
+        yield 'keepers_silent', silent
+        in_flight = sum(len(target.in_flight) for target in targets)
+        yield 'requests_in_flight', in_flight
+
     def sweep(self) -> None:
         """Forget targets that ended and connections that idled out."""
         now = self._clock.elapsed()
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -143,7 +143,7 @@
     """End a job on a defect of this gateway, still with a true answer."""
     settling.log(
         'task_error',
-        request=job.terms.request_id,
+        request_id=job.terms.request_id,
         cause=repr(error),
     )
     if job.reply.is_started:
@@ -360,7 +360,7 @@
     tools.sending.pool.drop(target.entry.address)
     tools.settling.log(
         'target_failed',
-        request=job.terms.request_id,
+        request_id=job.terms.request_id,
         target=target.entry.target_id,
         cause=outcome.cause,
         failure_rate=round(target.failure_rate, 3),
--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -112,7 +112,7 @@
     known = tools.knowledge()
     tools.log(
         'request_refused',
-        request=terms.request_id,
+        request_id=terms.request_id,
         status=refused.status,
         cause=refused.cause,
         catalog_version=known.catalog.version if known.catalog else None,
@@ -165,7 +165,7 @@
     known = tools.knowledge()
     tools.log(
         'request_ended',
-        request=job.terms.request_id,
+        request_id=job.terms.request_id,
         route=job.route.name,
         outcome=outcome,
         cause=job.cause,
--- a/tests/ctl/test_explaining.py
+++ b/tests/ctl/test_explaining.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from verbenamux_ctl.explaining import explain, read_lines
+from verbenamux_ctl.explaining import as_json, explain, join_lines, read_lines
 
 LOG = """not json req-1
 {"time":"t1","event":"route","request_id":"req-1","attempt":1,"model":"m",\
@@ -31,3 +31,29 @@
     path = tmp_path / 'gateway.log'
     path.write_text(LOG)
     assert not list(explain(read_lines(path, 'req-9')))
+
+
+RELAYED = """  31.5 gateway-1 {"time":"t2","event":"request_ended",\
+"instance":"gateway-1","request_id":"id-7","route":"r","outcome":"refused_502",\
+"cause":"no answer for 0.4 s","model":"m/a1","target":"i-1","sends":1,"runs":1,\
+"events":0,"steps":["i-1: unknown no answer for 0.4 s"],"wait_ms":3,\
+"first_event_ms":400,"total_ms":402,"catalog_version":7,"catalog_age_ms":20}
+"""
+EARLIER = """{"time":"t1","event":"request_refused","instance":"gateway-0",\
+"request_id":"id-7","status":503,"cause":"the key is not confirmed",\
+"catalog_version":7,"catalog_age_ms":4600}
+"""
+
+
+def test_lines_of_several_processes_are_joined_in_order(tmp_path: Path) -> None:
+    """A caller was refused at one gateway and came back to another."""
+    paths = [tmp_path / 'gateway-1.log', tmp_path / 'gateway-0.log']
+    paths[0].write_text(RELAYED)
+    paths[1].write_text(EARLIER)
+    lines = join_lines(paths, 'id-7')
+    told = list(explain(lines))
+    assert 'refused the request with 503 before any send' in told[0]
+    assert 'confirmed 4600 ms ago' in told[0]
+    assert 'ended as refused_502 (no answer for 0.4 s)' in told[1]
+    assert 'steps: i-1: unknown no answer' in told[1]
+    assert len(list(as_json(lines))) == 2
