--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -212,10 +212,13 @@
         for link in self._peers_by_address.values():
             link.send(notice)
 
+    def peer_count(self) -> int:
+        """Return how many other gateways are known."""
+        return len(self._peers_by_address)
+
     def usage_period(self) -> timedelta:
         """Return how often to tell usage, by the number of peers."""
-        peers = len(self._peers_by_address)
-        return USAGE_PERIOD * max(1, peers / USAGE_PEERS)
+        return USAGE_PERIOD * max(1, self.peer_count() / USAGE_PEERS)
 
     def tell_keepers(self) -> None:
         """Greet keepers, and tell them what their engines may hold.
