Call the clock's milliseconds, peek in one place, drop what nothing reads

Ruled out: Connection.is_quiet as a third peek, since it also resets the socket's time limit. Behaviour is as it was; no test was changed.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -91,7 +91,6 @@
 
     def __init__(self, opened: socket.socket) -> None:
         """Take over an open socket."""
-        self.is_reused = False
         self.idle_since = timedelta()
         self.idle_most = DEFAULT_IDLE
         self._socket = opened
@@ -249,7 +248,6 @@
         """Start without connections; `elapsed` is a monotonic clock."""
         self._elapsed = elapsed
         self._idle_by_address: dict[Address, deque[Connection]] = {}
-        self.opened = 0
 
     def take(
         self,
@@ -270,10 +268,8 @@
             if idle_most is not None:
                 limit = min(limit, idle_most)
             if idle_for < limit and connection.is_quiet():
-                connection.is_reused = True
                 return connection
             connection.close()
-        self.opened += 1
         return connect(address, connect_timeout)
 
     def give_back(self, address: Address, exchange: Exchange) -> None:
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -150,7 +150,7 @@
         One whose request has arrived, but was not read yet, is not idle.
         """
         for opened in tuple(self._idle):
-            if _is_silent(opened):
+            if _peek(opened) is None:
                 self._closed.add(opened)
                 opened.shutdown(socket.SHUT_RDWR)
 
@@ -287,16 +287,18 @@
             sleep(0)
 
 
-def _is_silent(opened: socket.socket) -> bool:
-    """Tell whether nothing has arrived on a connection."""
+def _peek(opened: socket.socket) -> bytes | None:
+    """Return what has arrived, None when nothing has.
+
+    No bytes mean that the connection is closed or broken.
+    """
     try:
-        opened._sock.recv(1, socket.MSG_PEEK)
+        peeked: bytes = opened._sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return True
+        return None
     except OSError:
-        # Broken already: its own task finds out.
-        return False
-    return False
+        return b''
+    return peeked
 
 
 def _watch_for_close(
@@ -311,12 +313,9 @@
     watcher = get_hub().loop.io(opened.fileno(), 1)
 
     def on_readable() -> None:
-        try:
-            peeked = opened._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
+        peeked = _peek(opened)
+        if peeked is None:
             return
-        except OSError:
-            peeked = b''
         watcher.stop()
         if not peeked:
             get_hub().loop.run_callback(
--- a/libs/relay/src/verbenamux_relay/admitting.py
+++ b/libs/relay/src/verbenamux_relay/admitting.py
@@ -20,9 +20,7 @@
     Knowledge,
     RequestRefusedError,
 )
-from verbenamux_relay.terms import (
-    RequestTerms,
-)
+from verbenamux_relay.terms import RequestTerms
 
 UNAUTHORIZED = 401
 NOT_FOUND = 404
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -24,7 +24,7 @@
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
-from verbenamux_relay.placing import Demand, Move, plan
+from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
 from verbenamux_relay.targets import Target, TargetEntry, TargetReport
@@ -90,7 +90,7 @@
             link_of=self._keeper_link,
             clock=clock,
             log=log,
-            demand=self._current_demand,
+            demand=self.demand.current,
         )
         self.server = PeerServer(setup.peer_address, self._hear)
         self._clock = clock
@@ -193,9 +193,7 @@
                 0,
             )
             self._budget_by_service[service] = budget
-        budget.extra = self.setup.repeat_extra / (
-            len(self._peers_by_address) + 1
-        )
+        budget.extra = self.setup.repeat_extra / (self.peer_count() + 1)
         return budget
 
     def tell_usage(self) -> None:
@@ -265,7 +263,7 @@
         now = self._clock.elapsed()
         places = tuple(holdings(self.beliefs.book, service.name, now))
         most = max(len(places) // MOVES_PART, 1)
-        for move in plan(places, service.engine, self._current_demand()):
+        for move in plan(places, service.engine, self.demand.current()):
             is_full = len(self._moving) >= most and bool(move.evict)
             if not is_full and move.target_id not in self._moving:
                 yield move
@@ -327,9 +325,6 @@
             self.setup.name < name for name in living
         )
 
-    def _current_demand(self) -> Demand:
-        return self.demand.current()
-
     def _engine_of(self, service: str) -> EngineTerms | None:
         if self._catalog is None:
             return None
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -6,9 +6,7 @@
 from verbenamux_http.parsing import Request
 from verbenamux_http.server import Reply
 from verbenamux_relay.catalog import Catalog, Route, Service, Workspace
-from verbenamux_relay.terms import (
-    RequestTerms,
-)
+from verbenamux_relay.terms import RequestTerms
 
 
 @dataclass(slots=True)
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -10,9 +10,7 @@
 from verbenamux_relay.placing import Holding
 from verbenamux_relay.prompts import PromptMemory, affinity
 from verbenamux_relay.targets import Target, TargetBook, TargetReport
-from verbenamux_relay.terms import (
-    RequestTerms,
-)
+from verbenamux_relay.terms import RequestTerms
 
 # Prompt tokens taken for a waiting request of which nothing else is known.
 TYPICAL_TOKENS = 2500
@@ -149,9 +147,9 @@
     """Yield the targets of a service that a keeper reports on."""
     for target in book.of_service(service):
         report = target.report
-        if report is None or not is_serving(target, now):
+        if report is None or target.has_silent_keeper(now):
             continue
-        if target.has_silent_keeper(now):
+        if not is_serving(target, now):
             continue
         yield Holding(
             target_id=target.entry.target_id,
--- a/libs/relay/src/verbenamux_relay/prompts.py
+++ b/libs/relay/src/verbenamux_relay/prompts.py
@@ -2,9 +2,7 @@
 
 from collections import OrderedDict
 
-from verbenamux_relay.terms import (
-    RequestTerms,
-)
+from verbenamux_relay.terms import RequestTerms
 
 # Part ids remembered for each target; the least recently sent are dropped.
 PARTS_MOST = 600
--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from random import Random
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_http.server import Reply
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import Catalog
@@ -15,9 +15,7 @@
 )
 from verbenamux_relay.job import Job
 from verbenamux_relay.sending import WholeAnswer
-from verbenamux_relay.terms import (
-    RequestTerms,
-)
+from verbenamux_relay.terms import RequestTerms
 from verbenamux_relay.waiting import retry_after
 from verbenamux_runtime.metrics import Metrics
 
@@ -123,7 +121,7 @@
         status=refused.status,
         cause=refused.cause,
         catalog_version=known.catalog.version if known.catalog else None,
-        catalog_age_ms=whole_ms(known.confirmed_for),
+        catalog_age_ms=to_milliseconds(known.confirmed_for),
     )
     tools.metrics.count(
         'requests_total',
@@ -182,14 +180,9 @@
         runs=job.runs,
         events=job.events,
         steps=len(job.steps) if outcome == 'delivered' else job.steps,
-        wait_ms=whole_ms((job.sent_at or now) - job.arrived_at),
-        first_event_ms=whole_ms((first_at or now) - job.arrived_at),
-        total_ms=whole_ms(now - job.arrived_at),
+        wait_ms=to_milliseconds((job.sent_at or now) - job.arrived_at),
+        first_event_ms=to_milliseconds((first_at or now) - job.arrived_at),
+        total_ms=to_milliseconds(now - job.arrived_at),
         catalog_version=job.catalog.version,
-        catalog_age_ms=whole_ms(known.confirmed_for),
+        catalog_age_ms=to_milliseconds(known.confirmed_for),
     )
-
-
-def whole_ms(duration: timedelta) -> int:
-    """Return a duration in whole milliseconds, for a log line."""
-    return duration // timedelta(milliseconds=1)
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -4,9 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from verbenamux_relay.terms import (
-    LoadNotice,
-)
+from verbenamux_relay.terms import LoadNotice
 
 # A report or load notice older than this says nothing of the load.
 LOAD_NOTICE_MOST = timedelta(milliseconds=1500)
@@ -82,7 +80,6 @@
     paused_until: timedelta = timedelta()
     heard_at: timedelta = timedelta()
     absent_models: set[str] = field(default_factory=set)
-    loaded_models: set[str] = field(default_factory=set)
     in_flight: dict[int, InFlight] = field(default_factory=dict)
     removed_at: timedelta | None = None
 
@@ -91,7 +88,7 @@
         """Return the models it holds, by the newest source."""
         if self.report is not None:
             return self.report.models
-        return (self.entry.models | self.loaded_models) - self.absent_models
+        return self.entry.models - self.absent_models
 
     def holds(self, model: str | None, adapter: str | None) -> bool:
         """Tell whether a request for the model could run right away."""
