--- a/libs/agent/src/verbenamux_agent/running.py
+++ b/libs/agent/src/verbenamux_agent/running.py
@@ -5,8 +5,8 @@
 import gevent
 
 from verbenamux_agent.agent import Agent
-from verbenamux_platform.http import parse_endpoint
-from verbenamux_platform.log import LogClient
+from verbenamux_contracts.log import Log
+from verbenamux_platform.store import open_store
 from verbenamux_runtime.program import every, keep_running, stop_on_signal
 
 HOUSEKEEPING = timedelta(seconds=1)
@@ -18,7 +18,7 @@
 def run_agent(agent: Agent) -> None:
     """Serve until SIGTERM, then leave without cutting off an attempt."""
     stop = stop_on_signal()
-    log = LogClient(parse_endpoint(agent.settings.log))
+    log = open_store(agent.settings.log, agent.clock.elapsed)
     gevent.spawn(_announce, agent, log)
 
     def report_error(error: Exception) -> None:
@@ -34,7 +34,7 @@
     _drain(agent)
 
 
-def _announce(agent: Agent, log: LogClient) -> None:
+def _announce(agent: Agent, log: Log) -> None:
     epoch = agent.witness.announce(log)
     agent.holdings.fence.epoch = epoch
     agent.log.write('epoch', epoch=epoch)
--- a/libs/agent/src/verbenamux_agent/witness.py
+++ b/libs/agent/src/verbenamux_agent/witness.py
@@ -8,13 +8,13 @@
 from verbenamux_admission.lease import WitnessDesk
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.log import Log
 from verbenamux_contracts.messages import (
     Consent,
     ConsentAsk,
     LeaseAsk,
     LeasePromise,
 )
-from verbenamux_platform.log import LogClient
 
 SHARES_STREAM = 'shares'
 APPEND_AGAIN = timedelta(seconds=1)
@@ -42,7 +42,7 @@
         self._clock = clock
         self._desk = WitnessDesk(longest_promise, clock.elapsed())
 
-    def announce(self, log: LogClient) -> int:
+    def announce(self, log: Log) -> int:
         """Append the start record, for as long as it takes."""
         record = encode_share_record(
             WitnessStart(self._witness, self._instance),
--- a/libs/platform/src/verbenamux_platform/configuration_log.py
+++ b/libs/config/src/verbenamux_config/configuration_log.py
@@ -10,16 +10,15 @@
     decode_snapshot,
     newer,
 )
-from verbenamux_platform.errors import PlatformFailure, PlatformFault
-from verbenamux_platform.log import LogClient
+from verbenamux_contracts.log import Log, LogFailure, LogFault
 
 CONFIGURATION_STREAM = 'configuration'
 SNAPSHOT_STREAM = 'snapshots'
 
 
 def newest_snapshot(
-    log: LogClient,
-) -> Result[Configuration, PlatformFailure]:
+    log: Log,
+) -> Result[Configuration, LogFailure]:
     """Return the snapshot that folded most of the log.
 
     Without any snapshot the answer is the empty configuration. Snapshots
@@ -36,15 +35,15 @@
             if not batch.bodies:
                 return Success(found)
             offset = batch.next_offset
-        elif page.failure().fault is PlatformFault.EXPIRED:
+        elif page.failure().fault is LogFault.EXPIRED:
             offset = page.failure().first_offset
         else:
             return Failure(page.failure())
 
 
 def read_configuration(
-    log: LogClient,
-) -> Result[Configuration, PlatformFailure]:
+    log: Log,
+) -> Result[Configuration, LogFailure]:
     """Return the configuration as the log gives it now."""
     found = newest_snapshot(log)
     if not is_successful(found):
@@ -53,9 +52,9 @@
 
 
 def read_on(
-    log: LogClient,
+    log: Log,
     configuration: Configuration,
-) -> Result[Configuration, PlatformFailure]:
+) -> Result[Configuration, LogFailure]:
     """Return the configuration with all later records folded in."""
     while True:
         page = log.read(CONFIGURATION_STREAM, configuration.through_offset)
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -398,6 +398,16 @@
     leaving: bool = False
 
 
+RelayMessage: TypeAlias = (
+    KeeperHello
+    | EngineNotice
+    | KeeperReport
+    | ModelAsk
+    | AdapterAsk
+    | AdapterUse
+    | LoadReply
+    | UsageNotice
+)
 AnyMessage: TypeAlias = (
     Hello
     | Heartbeat
@@ -427,14 +437,7 @@
     | KeepAsk
     | KeepReply
     | Drain
-    | KeeperHello
-    | EngineNotice
-    | KeeperReport
-    | ModelAsk
-    | AdapterAsk
-    | AdapterUse
-    | LoadReply
-    | UsageNotice
+    | RelayMessage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/libs/ctl/src/verbenamux_ctl/cli.py
+++ b/libs/ctl/src/verbenamux_ctl/cli.py
@@ -10,6 +10,10 @@
 from returns.pipeline import is_successful
 
 from verbenamux_config.access import hash_key
+from verbenamux_config.configuration_log import (
+    CONFIGURATION_STREAM,
+    read_configuration,
+)
 from verbenamux_config.entities import Key
 from verbenamux_config.fold import encode_record
 from verbenamux_config.operations import (
@@ -19,14 +23,10 @@
 )
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.log import Log
 from verbenamux_ctl import explaining, gateways, patching
 from verbenamux_ctl.failures import CommandError, CommandFailure, exit_with
-from verbenamux_platform.configuration_log import (
-    CONFIGURATION_STREAM,
-    read_configuration,
-)
-from verbenamux_platform.http import parse_endpoint
-from verbenamux_platform.log import LogClient
+from verbenamux_platform.store import open_store
 from verbenamux_runtime.program import print_version
 
 KEY_BYTES = 24
@@ -253,5 +253,5 @@
     return found.unwrap()
 
 
-def _client(log: str) -> LogClient:
-    return LogClient(parse_endpoint(log))
+def _client(log: str) -> Log:
+    return open_store(log, SystemClock().elapsed)
--- a/libs/ctl/src/verbenamux_ctl/gateways.py
+++ b/libs/ctl/src/verbenamux_ctl/gateways.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent.event import Event
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, SystemClock
 from verbenamux_contracts.ids import new_instance_id
 from verbenamux_contracts.messages import (
     AnyMessage,
@@ -17,7 +17,14 @@
     Withdrawal,
     WithdrawalDone,
 )
-from verbenamux_platform.http import open_client, parse_endpoint
+from verbenamux_http.client import (
+    ConnectionPool,
+    Outgoing,
+    call,
+    parse_address,
+)
+from verbenamux_http.errors import ExchangeFailure
+from verbenamux_http.headers import Headers
 from verbenamux_runtime.peers import PeerLink
 
 HTTP_TIMEOUT = timedelta(seconds=2)
@@ -28,14 +35,15 @@
 
 def read_status(address: str) -> dict[str, Any] | None:
     """Return what a gateway says of itself, or None."""
-    client = open_client(parse_endpoint(address), HTTP_TIMEOUT)
+    asked = Outgoing('GET', '/readyz?verbose', Headers((('Host', address),)))
+    pool = ConnectionPool(SystemClock().elapsed)
+    endpoint = parse_address(address)
     try:
-        response = client.get('/readyz?verbose')
-        body = bytes(response.read())
-    except OSError:
+        _, body = call(pool, endpoint, asked, HTTP_TIMEOUT)
+    except ExchangeFailure:
         return None
     finally:
-        client.close()
+        pool.drop(endpoint)
     status: dict[str, Any] = msgspec.json.decode(body)
     return status
 
--- a/libs/ctl/src/verbenamux_ctl/patching.py
+++ b/libs/ctl/src/verbenamux_ctl/patching.py
@@ -8,6 +8,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from verbenamux_config.configuration_log import (
+    CONFIGURATION_STREAM,
+    newest_snapshot,
+)
 from verbenamux_config.fold import (
     FoldResult,
     PatchRejected,
@@ -18,12 +22,8 @@
 from verbenamux_config.operations import AnyOperation, Patch
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.log import Log
 from verbenamux_ctl.failures import CommandError, CommandFailure
-from verbenamux_platform.configuration_log import (
-    CONFIGURATION_STREAM,
-    newest_snapshot,
-)
-from verbenamux_platform.log import LogClient
 
 SETTLE_MOST = timedelta(seconds=30)
 TRY_AGAIN = timedelta(milliseconds=300)
@@ -58,7 +58,7 @@
 
 
 def submit(
-    log: LogClient,
+    log: Log,
     patch: Patch,
     clock: Clock,
     settle_most: timedelta = SETTLE_MOST,
@@ -85,7 +85,7 @@
     )
 
 
-def find_outcome(log: LogClient, patch: Patch) -> Outcome | None:
+def find_outcome(log: Log, patch: Patch) -> Outcome | None:
     """Return what became of a patch, or None when the log lacks it."""
     start = newest_snapshot(log)
     if not is_successful(start):
--- a/libs/gateway/src/verbenamux_gateway/build.py
+++ b/libs/gateway/src/verbenamux_gateway/build.py
@@ -7,6 +7,7 @@
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.log import Log
 from verbenamux_contracts.messages import AnyMessage, ConfigurationAsk
 from verbenamux_gateway.claims import ClaimKeeper
 from verbenamux_gateway.fleet import Fleet
@@ -18,8 +19,7 @@
 from verbenamux_gateway.settings import GatewaySettings, RatePolicy
 from verbenamux_gateway.shares import ShareKeeper
 from verbenamux_gateway.work import Tools
-from verbenamux_platform.http import Endpoint, parse_endpoint
-from verbenamux_platform.log import LogClient
+from verbenamux_platform.store import open_store
 from verbenamux_routing.breaker import BREAKER_BY_POLICY
 from verbenamux_routing.choose import make_chooser
 from verbenamux_routing.retry import RetryBudget
@@ -51,7 +51,7 @@
     def limits_of(workspace: str) -> Limits | None:
         return gateway.limits_of(workspace)
 
-    endpoint = parse_endpoint(settings.platform.log)
+    store = open_store(settings.platform.log, clock.elapsed)
     fleet = Fleet(
         instance,
         clock,
@@ -75,18 +75,18 @@
         metrics=Metrics(),
         fleet=fleet,
         peers=peers,
-        follower=Follower(LogClient(endpoint), clock, on_change, log.write),
+        follower=Follower(store, clock, on_change, log.write),
         gate=_choose_gate(settings, escrow_gate),
         escrow_gate=escrow_gate,
         shares=_build_shares(
             settings,
             instance,
-            endpoint,
+            store,
             fleet,
             escrow_gate,
             log,
         ),
-        claims=ClaimKeeper(LogClient(endpoint), clock, log.write),
+        claims=ClaimKeeper(store, clock, log.write),
         planner=PlannerDuty(
             settings.name,
             settings.planning,
@@ -117,7 +117,7 @@
 def _build_shares(
     settings: GatewaySettings,
     instance: InstanceId,
-    endpoint: Endpoint,
+    store: Log,
     fleet: Fleet,
     escrow_gate: EscrowGate,
     log: DecisionLog,
@@ -126,7 +126,7 @@
         name=settings.name,
         instance=instance,
         clock=escrow_gate.clock,
-        log=LogClient(endpoint),
+        log=store,
         fleet=fleet,
         peers=escrow_gate.peers,
         gate=escrow_gate,
--- a/libs/gateway/src/verbenamux_gateway/claims.py
+++ b/libs/gateway/src/verbenamux_gateway/claims.py
@@ -17,8 +17,7 @@
 )
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.errors import ErrorCode, RequestFailure, Run
-from verbenamux_platform.errors import PlatformFault
-from verbenamux_platform.log import LogClient
+from verbenamux_contracts.log import Log, LogFault
 
 CLAIMS_STREAM = 'claims'
 BATCH_PAUSE = timedelta(milliseconds=5)
@@ -37,7 +36,7 @@
     batches and not more appends.
     """
 
-    log: LogClient
+    log: Log
     clock: Clock
     decide: Decide
     table: ClaimTable = field(default_factory=ClaimTable)
@@ -105,7 +104,7 @@
             )
             if not is_successful(batch):
                 failure = batch.failure()
-                if failure.fault is PlatformFault.EXPIRED:
+                if failure.fault is LogFault.EXPIRED:
                     self.table.through_offset = failure.first_offset
                 else:
                     self._note_failure()
--- a/libs/gateway/src/verbenamux_gateway/following.py
+++ b/libs/gateway/src/verbenamux_gateway/following.py
@@ -7,6 +7,11 @@
 from gevent.event import Event
 from returns.pipeline import is_successful
 
+from verbenamux_config.configuration_log import (
+    CONFIGURATION_STREAM,
+    SNAPSHOT_STREAM,
+    newest_snapshot,
+)
 from verbenamux_config.fold import fold_bodies, withdraw
 from verbenamux_config.state import (
     Configuration,
@@ -16,17 +21,10 @@
     newer,
 )
 from verbenamux_contracts.clock import Clock
-from verbenamux_platform.configuration_log import (
-    CONFIGURATION_STREAM,
-    SNAPSHOT_STREAM,
-    newest_snapshot,
-)
-from verbenamux_platform.errors import PlatformFailure, PlatformFault
-from verbenamux_platform.log import LogClient, RecordBatch
+from verbenamux_contracts.log import Log, LogFailure, LogFault, RecordBatch
 
 READ_WAIT = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=250)
-READ_LIMIT = 500
 
 OnChange = Callable[[Configuration], None]
 Decide = Callable[..., None]
@@ -41,7 +39,7 @@
     last read of the log left that was answered or failed.
     """
 
-    log: LogClient
+    log: Log
     clock: Clock
     on_change: OnChange
     decide: Decide
@@ -99,12 +97,11 @@
         batch = self.log.read(
             CONFIGURATION_STREAM,
             self.configuration.through_offset,
-            READ_LIMIT,
             READ_WAIT,
         )
         if is_successful(batch):
             self._fold(batch.unwrap())
-            if len(batch.unwrap().bodies) < READ_LIMIT:
+            if batch.unwrap().reaches_end:
                 self.touch(asked_at)
         else:
             self._recover(batch.failure())
@@ -119,8 +116,8 @@
         if folded is not self.configuration:
             self._replace(folded, 'log')
 
-    def _recover(self, failure: PlatformFailure) -> None:
-        if failure.fault is PlatformFault.EXPIRED:
+    def _recover(self, failure: LogFailure) -> None:
+        if failure.fault is LogFault.EXPIRED:
             self._start_from_snapshot()
         self.refreshed.set()
         self.refreshed.clear()
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -8,11 +8,10 @@
 from verbenamux_admission.rendezvous import pick
 from verbenamux_gateway.answers import encode_broken_request
 from verbenamux_gateway.gateway import Gateway
+from verbenamux_gateway.hosts import HostEntry, HostListClient, HostState
 from verbenamux_gateway.server import make_application
 from verbenamux_gateway.settings import RatePolicy
 from verbenamux_gateway.shares import RENEWALS_PER_LEASE
-from verbenamux_platform.hosts import HostEntry, HostListClient, HostState
-from verbenamux_platform.http import parse_endpoint
 from verbenamux_runtime.program import every, keep_running, stop_on_signal
 from verbenamux_runtime.webserver import serve
 
@@ -72,7 +71,7 @@
     keep_running(gateway.claims.follow)
     keep_running(gateway.claims.append_batches)
     if settings.platform.hosts is not None:
-        client = HostListClient(parse_endpoint(settings.platform.hosts))
+        client = HostListClient(settings.platform.hosts, gateway.clock)
         _loop(gateway, HOSTS_INTERVAL, lambda: _read_hosts(gateway, client))
 
 
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -15,6 +15,7 @@
 from verbenamux_admission.rendezvous import pick
 from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.ids import InstanceId, new_attempt_id
+from verbenamux_contracts.log import Log, LogFault
 from verbenamux_contracts.messages import (
     Consent,
     ConsentAsk,
@@ -25,8 +26,6 @@
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.peering import PeerTable
 from verbenamux_gateway.rates import EscrowGate
-from verbenamux_platform.errors import PlatformFault
-from verbenamux_platform.log import LogClient
 
 SHARES_STREAM = 'shares'
 WITNESSES = 5
@@ -51,7 +50,7 @@
     name: str
     instance: InstanceId
     clock: Clock
-    log: LogClient
+    log: Log
     fleet: Fleet
     peers: PeerTable
     gate: EscrowGate
@@ -79,7 +78,7 @@
                 wait=READ_WAIT if self.caught_up else timedelta(),
             )
             if not is_successful(batch):
-                if batch.failure().fault is PlatformFault.EXPIRED:
+                if batch.failure().fault is LogFault.EXPIRED:
                     self._restore()
                 self.log_up = False
                 self.clock.sleep(RETRY_PAUSE)
@@ -337,7 +336,7 @@
 
     def _restore(self) -> None:
         """Start from the stream's newest usable snapshot, if it has one."""
-        batch = self.log.read(SHARES_STREAM, 0, limit=1)
+        batch = self.log.read(SHARES_STREAM, 0)
         first = 0
         if not is_successful(batch):
             first = batch.failure().first_offset
--- a/libs/harness/src/verbenamux_harness/cli.py
+++ b/libs/harness/src/verbenamux_harness/cli.py
@@ -13,8 +13,8 @@
 from verbenamux_harness import (
     capacity,
     experiment,
-    fleetbench,
     microbench,
+    process_slopes,
     soak,
 )
 from verbenamux_harness.demo import run_demo
@@ -143,10 +143,10 @@
     """Measure the slopes behind docs/CAPACITY.md, as JSON and a table."""
     folder = Path(tempfile.mkdtemp(prefix='verbenamux-bench-'))
     output.mkdir(parents=True, exist_ok=True)
-    slopes = []
+    slopes: list[microbench.Slope] = []
     measured = [microbench.all_slopes()]
     if processes:
-        measured.append(fleetbench.all_process_slopes(folder))
+        measured.append(process_slopes.all_process_slopes(folder))
     typer.echo('| what | figure | unit |')
     typer.echo('| --- | --- | --- |')
     for slope in itertools.chain.from_iterable(measured):
--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-import gevent
-from gevent import socket
+from gevent import Greenlet, socket, spawn
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
@@ -135,13 +134,13 @@
         self._socket = opened
         self._parser = ResponseParser()
         self._sent = Event()
-        self._sender: gevent.Greenlet | None = None
+        self._sender: Greenlet | None = None
         if len(outgoing.body) <= DIRECT_BODY_BYTES:
             self._send(outgoing.encoded_head() + outgoing.body)
             self._sent.set()
         else:
             self._send(outgoing.encoded_head())
-            self._sender = gevent.spawn(self._send_body, outgoing.body)
+            self._sender = spawn(self._send_body, outgoing.body)
 
     def read_head(self, timeout: timedelta | None) -> ResponseHead:
         """Wait for the answer's head; raises ExchangeFailure."""
@@ -171,13 +170,10 @@
         the answer: they belong to no request.
         """
         head = self._parser.head
-        return (
-            self._parser.is_complete
-            and self._sent.is_set()
-            and not self._parser.has_surplus
-            and head is not None
-            and head.keeps_connection
-        )
+        if head is None or not self._parser.is_complete:
+            return False
+        is_clean = self._sent.is_set() and not self._parser.has_surplus
+        return is_clean and head.keeps_connection
 
     def stated_idle(self) -> timedelta:
         """Return for how long the peer keeps the idle connection."""
@@ -225,16 +221,8 @@
         self._socket.settimeout(seconds)
         try:
             received = self._socket.recv(RECEIVE_BYTES)
-        except TimeoutError as error:
-            raise ExchangeFailure(
-                Fault.TIMED_OUT,
-                f'no answer for {seconds:.3f} s',
-            ) from error
         except OSError as error:
-            raise ExchangeFailure(
-                Fault.BROKEN,
-                f'connection lost: {error!r}',
-            ) from error
+            raise _receive_failure(error, seconds) from error
         if received:
             self._parser.feed(received)
             return
@@ -245,6 +233,15 @@
             )
 
 
+def _receive_failure(
+    error: OSError,
+    seconds: float | None,
+) -> ExchangeFailure:
+    if isinstance(error, TimeoutError):
+        return ExchangeFailure(Fault.TIMED_OUT, f'no answer for {seconds} s')
+    return ExchangeFailure(Fault.BROKEN, f'connection lost: {error!r}')
+
+
 class ConnectionPool:
     """Idle connections by address, newest first."""
 
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -1,12 +1,12 @@
 """A listener for callers: one task per connection."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
-import gevent
-from gevent import socket
+from gevent import Timeout, get_hub, getcurrent, sleep, socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -113,25 +113,30 @@
     handle: Handler
     refuse: EncodeRefusal
     limits: Callable[[], EdgeLimits]
+    elapsed: Callable[[], timedelta]
     is_stopping: Callable[[], bool]
 
 
 class Listener:
-    """Accepts callers on an address until it is stopped."""
+    """Accepts callers on an address until it is stopped.
+
+    `all_answered` is set while no request is arriving or being answered.
+    """
 
     def __init__(self, address: tuple[str, int], callbacks: Callbacks) -> None:
         """Bind and accept."""
+        self.all_answered = Event()
+        self.all_answered.set()
         self._callbacks = callbacks
         self._idle: set[socket.socket] = set()
-        self._server = StreamServer(
-            address,
-            self._serve,
-            backlog=BACKLOG,
-        )
+        self._busy: set[socket.socket] = set()
+        self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         self._server.start()
-        self.active = 0
-        self.all_answered = Event()
-        self.all_answered.set()
+
+    @property
+    def active(self) -> int:
+        """Return how many requests are arriving or being answered."""
+        return len(self._busy)
 
     def stop_accepting(self) -> None:
         """Close the listening socket."""
@@ -139,7 +144,7 @@
         self._server.socket.close()
 
     def close_idle(self) -> None:
-        """Close connections on which no request is waiting or arriving."""
+        """Close connections on which no request is arriving or answered."""
         for opened in tuple(self._idle):
             opened.shutdown(socket.SHUT_RDWR)
 
@@ -154,22 +159,26 @@
             caller.refuse(error)
         finally:
             self._idle.discard(opened)
+            self._note_done(opened)
             opened.close()
 
     def _answer_all(self, caller: '_Caller', opened: socket.socket) -> None:
-        while True:
+        keeps = True
+        while keeps:
             self._idle.add(opened)
-            request = caller.read_request(lambda: self._idle.discard(opened))
-            self.active += 1
-            self.all_answered.clear()
-            try:
-                keeps = caller.answer(request)
-            finally:
-                self.active -= 1
-                if not self.active:
-                    self.all_answered.set()
-            if not keeps:
-                return
+            request = caller.read_request(partial(self._note_busy, opened))
+            keeps = caller.answer(request)
+            self._note_done(opened)
+
+    def _note_busy(self, opened: socket.socket) -> None:
+        self._idle.discard(opened)
+        self._busy.add(opened)
+        self.all_answered.clear()
+
+    def _note_done(self, opened: socket.socket) -> None:
+        self._busy.discard(opened)
+        if not self._busy:
+            self.all_answered.set()
 
 
 class _Caller:
@@ -183,16 +192,19 @@
     def read_request(self, on_first_byte: Callable[[], None]) -> Request:
         """Return the next request; raises RequestError or CallerGone.
 
-        The time for its headers counts from their first byte.
+        All its headers must come within the header time, counted from
+        their first byte; a body may pause for as long as the idle time.
         """
         limits = self._callbacks.limits()
         allowed = limits.idle_time
+        headers_by: timedelta | None = None
         while not self._parser.complete:
             received = self._receive(allowed)
             on_first_byte()
-            if self._parser.has_head or not self._parser.is_inside:
-                allowed = limits.header_time
             self._parser.feed(received)
+            now = self._callbacks.elapsed()
+            headers_by = headers_by or now + limits.header_time
+            allowed = headers_by - now
             if self._parser.has_head and self._parser.is_inside:
                 allowed = limits.idle_time
                 self._welcome_body()
@@ -207,7 +219,7 @@
             request.keeps_connection and not stopping,
         )
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
-        watch = _watch_for_close(self._socket, gevent.getcurrent())
+        watch = _watch_for_close(self._socket, getcurrent())
         try:
             self._callbacks.handle(request, reply)
         finally:
@@ -238,10 +250,10 @@
             self._socket.sendall(CONTINUE)
 
     def _receive(self, allowed: timedelta) -> bytes:
-        self._socket.settimeout(allowed.total_seconds())
+        self._socket.settimeout(max(allowed.total_seconds(), 0))
         try:
             received = self._socket.recv(RECEIVE_BYTES)
-        except TimeoutError as error:
+        except (TimeoutError, BlockingIOError) as error:
             status = REQUEST_TIMEOUT if self._parser.is_inside else None
             raise RequestError(status, 'the request took too long') from error
         except OSError as error:
@@ -251,7 +263,7 @@
         return received
 
     def _linger(self) -> None:
-        with gevent.Timeout(LINGER.total_seconds(), exception=False):
+        with Timeout(LINGER.total_seconds(), exception=False):
             try:
                 self._discard()
             except OSError:
@@ -262,19 +274,19 @@
         self._socket.shutdown(socket.SHUT_WR)
         self._socket.settimeout(LINGER.total_seconds())
         while self._socket.recv(RECEIVE_BYTES):
-            gevent.sleep(0)
+            sleep(0)
 
 
 def _watch_for_close(
     opened: socket.socket,
-    task: gevent.greenlet,
+    task: Any,
 ) -> Any:
     """Raise CallerGone in the task when its caller closes.
 
     Bytes of a further request end the watch: the close is then seen when
     the answer is written.
     """
-    watcher = gevent.get_hub().loop.io(opened.fileno(), 1)
+    watcher = get_hub().loop.io(opened.fileno(), 1)
 
     def on_readable() -> None:
         try:
@@ -285,7 +297,7 @@
             peeked = b''
         watcher.stop()
         if not peeked:
-            gevent.get_hub().loop.run_callback(
+            get_hub().loop.run_callback(
                 _throw_if_alive,
                 task,
                 CallerGone('closed while waiting'),
@@ -298,8 +310,3 @@
 def _throw_if_alive(task: Any, error: Exception) -> None:
     if not task.dead:
         task.throw(error)
-
-
-def encode_head_fields(fields: Iterable[tuple[str, str]]) -> Headers:
-    """Return headers of the given fields."""
-    return Headers(tuple(fields))
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import gevent
+import msgspec
 from gevent.lock import RLock
 
 from verbenamux_contracts.clock import Clock
@@ -32,7 +33,7 @@
 ORDER_PERIOD = timedelta(milliseconds=40)
 ADAPTER_PERIOD = timedelta(milliseconds=4)
 # Reports whose counts alone changed go out no more often than this.
-REPORT_PERIOD = timedelta(milliseconds=250)
+REPORT_PERIOD = timedelta(milliseconds=400)
 # Reports that say nothing new go out this often.
 IDLE_REPORT_PERIOD = timedelta(milliseconds=500)
 # A gateway that has not said hello for this long gets no reports.
@@ -50,6 +51,8 @@
 # Pause before an order that got no answer is sent again.
 ANSWER_PAUSE = timedelta(milliseconds=200)
 
+TAKEN_ANSWERS = frozenset((OrderAnswer.ACCEPTED, OrderAnswer.HOLDS))
+
 Send = Callable[[bytes, KeeperReport | LoadReply], object]
 
 
@@ -92,19 +95,17 @@
 
     def receive(self, sender: bytes, message: AnyMessage) -> None:
         """Take in a gateway's message; asks are carried out in tasks."""
-        if isinstance(message, KeeperHello):
-            is_new = sender not in self.state.subscribers
-            self.state.subscribers[sender] = self._clock.elapsed()
-            if is_new and self.state.engine is not None:
-                self._send(sender, self._report())
-        elif isinstance(message, EngineNotice):
-            self._take_notice(message)
-        elif isinstance(message, AdapterUse):
-            self._note_use(f'{message.model}/{message.adapter}')
-        elif isinstance(message, ModelAsk):
-            gevent.spawn(self._answer_model, sender, message)
-        elif isinstance(message, AdapterAsk):
-            gevent.spawn(self._answer_adapter, sender, message)
+        match message:
+            case KeeperHello():
+                self._greet(sender)
+            case EngineNotice():
+                self._take_notice(message)
+            case AdapterUse():
+                self._note_use(f'{message.model}/{message.adapter}')
+            case ModelAsk():
+                gevent.spawn(self._answer_model, sender, message)
+            case AdapterAsk():
+                gevent.spawn(self._answer_adapter, sender, message)
 
     def run(self) -> None:
         """Read the engine for ever and tell gateways what changed."""
@@ -145,7 +146,8 @@
         silence = now - self._told_at
         if not self._is_due(report, silence):
             return
-        self._told, self._told_at = report, now
+        self._told = report
+        self._told_at = now
         for sender, heard_at in tuple(self.state.subscribers.items()):
             is_silent = now - heard_at > SUBSCRIBER_SILENCE
             if is_silent or self._send(sender, report) is False:
@@ -184,6 +186,12 @@
             ),
         )
 
+    def _greet(self, sender: bytes) -> None:
+        is_new = sender not in self.state.subscribers
+        self.state.subscribers[sender] = self._clock.elapsed()
+        if is_new and self.state.engine is not None:
+            self._send(sender, self._report())
+
     def _take_notice(self, notice: EngineNotice) -> None:
         known = self.state.notice
         if known is None or notice.version >= known.version:
@@ -210,36 +218,47 @@
 
     def _load_model(self, ask: ModelAsk) -> str:
         """Load a model; return why it is not in place, or nothing."""
-        notice = self.state.notice
         engine = self.refresh()
+        if engine is not None and ask.model in engine.models:
+            return ''
+        cause = self._check_model(ask, engine)
+        for victim in ask.evict:
+            cause = cause or self._unload_model(victim)
+        return cause or self._order_model(ask.model)
+
+    def _check_model(self, ask: ModelAsk, engine: EngineState | None) -> str:
+        """Return why a model can't be loaded now, or nothing."""
+        notice = self.state.notice
         if notice is None or engine is None:
             return 'the engine is not known yet'
-        if ask.model in engine.models:
-            return ''
-        if self._is_cold(ask.model, engine) and not self._pace.is_ready(
+        is_paced = self._pace.is_ready(
             notice.store_loads_per_second,
             notice.targets,
-        ):
+        )
+        if not is_paced and _is_cold(ask.model, engine):
             return "this engine's part of the store's pace is spent"
         if any(map(self._has_just_come, ask.evict)):
             return 'a model that was to go has just come'
-        for victim in ask.evict:
-            cause = self._unload_model(victim)
-            if cause:
-                return cause
-        engine = self.state.engine or engine
-        if not fits(ask.model, engine, notice):
+        return ''
+
+    def _order_model(self, model: str) -> str:
+        """Order a load that the engine has room for; return why not."""
+        notice = self.state.notice
+        engine = self.state.engine
+        if notice is None or engine is None:
+            return 'the engine is not known yet'
+        if not fits(model, engine, notice):
             return 'the engine has no room'
-        if self._is_cold(ask.model, engine):
+        if _is_cold(model, engine):
             self._pace.note_start()
-        if not self._give(OrderKind.LOAD, ask.model, None):
+        if not self._give(OrderKind.LOAD, model, None):
             return 'the engine did not take the order'
         cause = self._await(
-            lambda state: ask.model in state.models and not state.is_busy,
+            lambda state: model in state.models and not state.is_busy,
             MODEL_MOST,
             ORDER_PERIOD,
         )
-        self.state.loaded_at_by_model[ask.model] = self._clock.elapsed()
+        self.state.loaded_at_by_model[model] = self._clock.elapsed()
         return cause
 
     def _has_just_come(self, model: str) -> bool:
@@ -338,28 +357,31 @@
         give_up_at = self._clock.elapsed() + ORDER_MOST
         with self._orders_lock:
             while self._clock.elapsed() < give_up_at:
-                engine = self.refresh()
-                if engine is not None:
-                    if _is_done(engine, kind, model, adapter):
-                        return True
-                    taken = self._order_once(engine, kind, model, adapter)
-                    if taken is not None:
-                        return taken
+                answer = self._order_once(kind, model, adapter)
+                if answer in TAKEN_ANSWERS:
+                    return True
+                if answer is OrderAnswer.INVALID:
+                    return False
+                if answer is OrderAnswer.CONFLICT and adapter is not None:
+                    # The engine loads a model: another engine is faster.
+                    return False
                 self._clock.sleep(ANSWER_PAUSE)
         return False
 
     def _order_once(
         self,
-        engine: EngineState,
         kind: OrderKind,
         model: str,
         adapter: str | None,
-    ) -> bool | None:
-        """Order once; None when it must be looked at again."""
+    ) -> OrderAnswer:
+        """Order once, unless the engine's state shows the order as done."""
+        engine = self.refresh()
         token = self._fencing_token()
         target_id = self.state.target_id
-        if token is None or target_id is None:
-            return None
+        if engine is None or token is None or target_id is None:
+            return OrderAnswer.UNKNOWN
+        if _is_done(engine, kind, model, adapter):
+            return OrderAnswer.HOLDS
         order = Order(kind, model, adapter, engine.orders_taken)
         answer = self._port.order(target_id, token, order)
         self._log(
@@ -376,11 +398,7 @@
             self.state.fencing_token = None
         elif answer is OrderAnswer.OTHER_TARGET:
             self.state.target_id = None
-        elif answer in {OrderAnswer.ACCEPTED, OrderAnswer.HOLDS}:
-            return True
-        elif answer is OrderAnswer.INVALID or (answer is OrderAnswer.CONFLICT and adapter is not None):
-            return False
-        return None
+        return answer
 
     def _fencing_token(self) -> int | None:
         if self.state.fencing_token is None:
@@ -401,9 +419,6 @@
             self._clock.sleep(period)
         return 'the engine did not finish the order in time'
 
-    def _is_cold(self, model: str, engine: EngineState) -> bool:
-        return model not in engine.on_disk | engine.in_memory
-
 
 def fits(model: str, engine: EngineState, notice: EngineNotice) -> bool:
     """Tell whether an engine has room for one more model.
@@ -419,6 +434,10 @@
     return taken + wanted <= notice.weights_mb
 
 
+def _is_cold(model: str, engine: EngineState) -> bool:
+    return model not in engine.on_disk | engine.in_memory
+
+
 def _models_of(pending: frozenset[str]) -> frozenset[str]:
     return frozenset(name for name in pending if '/' not in name)
 
@@ -442,12 +461,12 @@
     return held is (kind is OrderKind.LOAD)
 
 
-def _holding(report: KeeperReport) -> tuple[object, ...]:
-    return (
-        report.target_id,
-        report.models,
-        report.adapters,
-        report.on_disk,
-        report.is_ordering,
-        report.store_loads_ready,
+def _holding(report: KeeperReport) -> KeeperReport:
+    """Return a report without the counts, which change all the time."""
+    return msgspec.structs.replace(
+        report,
+        queued=0,
+        active=0,
+        used_tokens=0,
+        total_tokens=0,
     )
--- a/libs/keeper/src/verbenamux_keeper/pacing.py
+++ b/libs/keeper/src/verbenamux_keeper/pacing.py
@@ -1,4 +1,4 @@
-"""This engine's part of the weight store's pace.
+"""One engine's part of the weight store's pace.
 
 Load pattern: many engines lose their models at once and all load from the
 store. An equal fixed part for each engine needs no message, and holds while
--- a/libs/platform/src/verbenamux_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the log, the weight store and the host list."""
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -39,7 +39,7 @@
 
 
 class Allowance:
-    """This gateway's view of every workspace's bucket."""
+    """Every workspace's bucket, as one gateway sees it."""
 
     def __init__(self, elapsed: Elapsed) -> None:
         """Start with full buckets; `elapsed` counts through suspensions."""
--- a/libs/relay/src/verbenamux_relay/catalog.py
+++ b/libs/relay/src/verbenamux_relay/catalog.py
@@ -150,11 +150,15 @@
     for route in routes:
         grouped.setdefault(route.host.lower(), []).append(route)
     return {
-        host: tuple(sorted(rows, key=lambda row: -len(row.prefix)))
+        host: tuple(sorted(rows, key=_prefix_length, reverse=True))
         for host, rows in grouped.items()
     }
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def pick_share(shares: tuple[Share, ...], draw: float) -> str:
     """Return a service by weight; `draw` is uniform in [0, 1)."""
     left = draw * sum(share.weight for share in shares)
--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -20,10 +20,13 @@
 ORDER_WAIT = timedelta(seconds=2)
 # What a silent keeper counts against its target.
 UNWATCHED_PENALTY = timedelta(milliseconds=150)
-# What sending to another data centre costs against an equal local target.
+# What sending to another data centre costs against an equal local target,
+# and for each kilobyte sent there: such bytes are dear.
 REMOTE_PENALTY = timedelta(milliseconds=15)
+REMOTE_KILOBYTE = timedelta(milliseconds=3)
 # Wait at a target whose memory of tokens is full, a token over.
 FULL_MEMORY_WAIT = timedelta(milliseconds=0.02)
+KILOBYTE = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,7 @@
     waiting_tokens: float
     missing_tokens: int
     tokens_per_second: float
+    body_bytes: int = 0
     lacks_adapter: bool = False
     is_ordering: bool = False
     is_unwatched: bool = False
@@ -61,7 +65,9 @@
     """Return the prediction with what else speaks against a target."""
     total = predict(option) + FAILURE_PENALTY * option.failure_rate
     if not option.is_local:
-        total += REMOTE_PENALTY
+        total += REMOTE_PENALTY + REMOTE_KILOBYTE * (
+            option.body_bytes / KILOBYTE
+        )
     if option.is_unwatched:
         total += UNWATCHED_PENALTY
     return total + REMOTE_PENALTY * option.busy_share
--- a/libs/relay/src/verbenamux_relay/events.py
+++ b/libs/relay/src/verbenamux_relay/events.py
@@ -28,12 +28,14 @@
             end = _first_boundary(self._rest)
             if end is None:
                 return
-            encoded, self._rest = self._rest[:end], self._rest[end:]
+            encoded = self._rest[:end]
+            self._rest = self._rest[end:]
             yield StreamEvent(encoded, _event_id(encoded))
 
     def take_rest(self) -> bytes:
         """Return the bytes behind the last whole event."""
-        rest, self._rest = self._rest, b''
+        rest = self._rest
+        self._rest = b''
         return rest
 
 
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,6 +1,6 @@
 """A relaying gateway: what it believes, whom it tells, and its tasks."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
@@ -16,19 +16,19 @@
     UsageNotice,
 )
 from verbenamux_relay.allowance import Allowance
-from verbenamux_relay.catalog import Catalog, EngineTerms
+from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
 from verbenamux_relay.placing import Demand, Move, plan
-from verbenamux_relay.relaying import Knowledge
 from verbenamux_relay.repeats import RepeatBudget
+from verbenamux_relay.settling import Knowledge
 from verbenamux_relay.targets import Target, TargetEntry, TargetReport
 from verbenamux_runtime.metrics import Metrics
 from verbenamux_runtime.peers import PeerLink, PeerServer
 
 # Gateways tell each other what they spent this often, in a small fleet.
-USAGE_PERIOD = timedelta(milliseconds=150)
+USAGE_PERIOD = timedelta(milliseconds=250)
 # From this many peers on, notices are sent less often in proportion.
 USAGE_PEERS = 8
 # The planner looks for better places this often.
@@ -220,19 +220,22 @@
         """
         if not self._is_planner() or self._catalog is None:
             return
-        now = self._clock.elapsed()
         for service in self._catalog.services_by_name.values():
-            if service.engine is None:
-                continue
-            places = tuple(holdings(self.beliefs.book, service.name, now))
-            most = max(len(places) // MOVES_PART, 1)
-            moves = plan(places, service.engine, self._current_demand())
-            for move in moves:
-                if len(self._moving) >= most and move.evict:
-                    continue
-                if move.target_id not in self._moving:
-                    self._moving.add(move.target_id)
-                    run(partial(self._carry_out, move))
+            for move in self._planned(service):
+                self._moving.add(move.target_id)
+                run(partial(self._carry_out, move))
+
+    def _planned(self, service: Service) -> Iterator[Move]:
+        """Yield moves to targets that are not moving, a few at a time."""
+        if service.engine is None:
+            return
+        now = self._clock.elapsed()
+        places = tuple(holdings(self.beliefs.book, service.name, now))
+        most = max(len(places) // MOVES_PART, 1)
+        for move in plan(places, service.engine, self._current_demand()):
+            is_full = len(self._moving) >= most and bool(move.evict)
+            if not is_full and move.target_id not in self._moving:
+                yield move
 
     def sweep(self) -> None:
         """Forget targets that ended and connections that idled out."""
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -149,7 +149,7 @@
             return
         now = self.clock.elapsed()
         places = tuple(holdings(self.book, service.name, now))
-        loading = [place_ for place_ in places if place_.loading == model]
+        loading = [holding for holding in places if holding.loading == model]
         if loading:
             self._await_elsewhere(service, engine, model)
             return
@@ -174,5 +174,5 @@
         while self.clock.elapsed() < give_up_at:
             self.clock.sleep(RETRY_PAUSE)
             places = holdings(self.book, service.name, self.clock.elapsed())
-            if all(place_.loading != model for place_ in places):
+            if all(holding.loading != model for holding in places):
                 return
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -7,10 +7,12 @@
 
 from verbenamux_relay.catalog import EngineTerms, Service
 from verbenamux_relay.choosing import Option, choose, preferred
-from verbenamux_relay.dialect import RequestTerms
 from verbenamux_relay.placing import Holding
 from verbenamux_relay.prompts import PromptMemory, affinity
-from verbenamux_relay.targets import Target, TargetBook
+from verbenamux_relay.targets import Target, TargetBook, TargetReport
+from verbenamux_relay.terms import (
+    RequestTerms,
+)
 
 # Prompt tokens taken for a waiting request of which nothing else is known.
 TYPICAL_TOKENS = 2500
@@ -22,6 +24,8 @@
 PACE_WEIGHT = 0.1
 # Work of a plain request before any was observed.
 TYPICAL_WORK = timedelta(milliseconds=80)
+# Stands for the model being loaded while a target only unloads one.
+UNLOADING = ''
 # A removed entry may come back for so long if its target still answers.
 REMOVED_GRACE = timedelta(milliseconds=1500)
 # A target heard within this time counts as alive.
@@ -41,6 +45,7 @@
 
     service: Service
     terms: RequestTerms
+    body_bytes: int = 0
     excluded: frozenset[str] = frozenset()
 
 
@@ -148,20 +153,24 @@
             continue
         if target.has_silent_keeper(now):
             continue
-        loading = next(
-            (name for name in report.pending if '/' not in name),
-            None,
-        )
         yield Holding(
             target_id=target.entry.target_id,
             models=report.models,
             on_disk=report.on_disk,
             in_memory=report.in_memory,
-            loading=loading or ('?' if report.is_ordering else None),
+            loading=_loading(report),
             may_load_cold=report.store_loads_ready,
         )
 
 
+def _loading(report: TargetReport) -> str | None:
+    """Name the model that a target loads, or that it unloads one."""
+    for name in report.pending:
+        if '/' not in name:
+            return name
+    return UNLOADING if report.is_ordering else None
+
+
 def _may_hold_adapter(target: Target, terms: RequestTerms) -> bool:
     return terms.adapter is None or target.report is not None
 
@@ -189,6 +198,7 @@
     return Option(
         target_id=entry.target_id,
         is_local=is_local,
+        body_bytes=query.body_bytes,
         waiting_tokens=target.unstarted_tokens() + others * TYPICAL_TOKENS,
         missing_tokens=missing,
         tokens_per_second=beliefs.paces.of(query.terms.model),
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -127,9 +128,10 @@
     while len(passed_over) < len(terms.models_by_name):
         places = tuple(place_by_target.values())
         count_by_model = copies(places)
-        model = max(
+        model = _most_wanted(
             terms.models_by_name.keys() - passed_over,
-            key=lambda name: (_gain(name, demand, count_by_model), name),
+            demand,
+            count_by_model,
         )
         move = place(model, places, terms, demand)
         if move is None or not _pays(move, demand, count_by_model):
@@ -151,6 +153,17 @@
     return terms.cold_load
 
 
+def _most_wanted(
+    names: AbstractSet[str],
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> str:
+    return max(
+        names,
+        key=lambda name: (_gain(name, demand, count_by_model), name),
+    )
+
+
 def _gain(
     model: str,
     demand: Demand,
--- a/libs/relay/src/verbenamux_relay/prompts.py
+++ b/libs/relay/src/verbenamux_relay/prompts.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 
-from verbenamux_relay.dialect import RequestTerms
+from verbenamux_relay.terms import (
+    RequestTerms,
+)
 
 # Part ids remembered for each target; the least recently sent are dropped.
 PARTS_MOST = 600
@@ -34,7 +36,7 @@
         is_preferred: bool,
     ) -> int:
         """Return the prompt tokens that the target must still read."""
-        parts = self._parts_by_target.get(target_id, {})
+        parts = self._parts_by_target.get(target_id, OrderedDict())
         kept = 0
         for part in terms.parts:
             if f'{terms.model_key}:{part.part_id}' not in parts:
@@ -51,11 +53,10 @@
 
     def forget_model(self, target_id: str, model: str) -> None:
         """Drop the parts kept for a model that was unloaded."""
-        parts = self._parts_by_target.get(target_id)
-        for name in [
-            name for name in parts or () if name.startswith(f'{model}/')
-        ]:
-            del parts[name]
+        parts = self._parts_by_target.get(target_id, OrderedDict())
+        for name in tuple(parts):
+            if name.startswith(f'{model}/'):
+                parts.pop(name)
 
 
 def shared_tokens(terms: RequestTerms) -> int:
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -7,12 +7,17 @@
 from typing import TypeVar
 
 from verbenamux_contracts.clock import Clock
-from verbenamux_http.client import ConnectionPool, Exchange, Outgoing
+from verbenamux_http.client import (
+    Connection,
+    ConnectionPool,
+    Exchange,
+    Outgoing,
+)
 from verbenamux_http.errors import ExchangeFailure, Fault
 from verbenamux_http.parsing import ResponseHead
 from verbenamux_relay.catalog import RouteKind
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
-from verbenamux_relay.events import EventSplitter
+from verbenamux_relay.events import EventSplitter, StreamEvent
 from verbenamux_relay.job import Job
 from verbenamux_relay.targets import InFlight, Target
 
@@ -23,14 +28,15 @@
 # A repeatable request waits for an answer this many objectives at most.
 PATIENCE_FACTOR = 1.5
 PATIENCE_LEAST = timedelta(milliseconds=700)
-# What of the time left the target is told, for the answer's way back.
+# A stream that can be resumed elsewhere waits so long between two events.
+GAP_PATIENCE = timedelta(milliseconds=1200)
+# What of the time left the target is not told, for the answer's way back.
 RETURN_TIME = timedelta(milliseconds=5)
 # Statuses that promise a caller that its request has not run.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 FIRST_SERVER_ERROR = 500
 OK = 200
 
-
 Received = TypeVar('Received')
 
 
@@ -40,7 +46,7 @@
     NOT_RUN: proof that the request did not run there.
     UNKNOWN: it may have run, and no usable answer came.
     FAILED: the target answered with a failure of its own.
-    DELIVERED: the caller has the whole answer.
+    DELIVERED: the caller has the whole answer, or `answer` holds it.
     BROKEN_OFF: a stream ended early behind its first event.
     """
 
@@ -61,13 +67,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a send ended, and why."""
+    """How a send ended, and why.
+
+    `arrived` is false when no byte reached the target. `lacks_model` is
+    true when the target does not hold what the request is for.
+    """
 
     ending: Ending
     cause: str = ''
     answer: WholeAnswer | None = None
     arrived: bool = True
-    is_misdirected: bool = False
+    lacks_model: bool = False
     is_unreachable: bool = False
 
 
@@ -81,25 +91,35 @@
     on_first_event: Callable[[Job, Target, InFlight], None]
 
 
-def send(
-    job: Job,
-    target: Target,
-    in_flight: InFlight,
-    urgency: int | None,
-    tools: SendTools,
-) -> Outcome:
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A job on its way to one target; `urgency` is its rank there."""
+
+    job: Job
+    target: Target
+    in_flight: InFlight
+    urgency: int | None
+    tools: SendTools
+
+    def time_left(self) -> timedelta:
+        """Return the time until the job's deadline."""
+        return self.job.time_left(self.tools.clock.elapsed())
+
+    def note_heard(self) -> None:
+        """Note a sign of life from the target."""
+        now = self.tools.clock.elapsed()
+        self.target.heard_at = now
+        self.in_flight.heard_at = now
+
+
+def send(sent: Send) -> Outcome:
     """Send a job to a target and pass the answer on.
 
     Raises CallerGone; the target's connection is closed then, which tells
     the target to stop.
     """
-    address = target.entry.address
     try:
-        connection = tools.pool.take(
-            address,
-            min(CONNECT_MOST, job.time_left(tools.clock.elapsed())),
-            None if job.route.is_repeatable else FRESH_IDLE,
-        )
+        connection = _connect(sent)
     except ExchangeFailure as failure:
         return Outcome(
             Ending.NOT_RUN,
@@ -107,183 +127,177 @@
             arrived=False,
             is_unreachable=True,
         )
-    exchange: Exchange | None = None
     try:
-        exchange = connection.start(_outgoing(job, target, urgency, tools))
-        outcome = _follow(job, target, in_flight, exchange, tools)
+        exchange = connection.start(_outgoing(sent))
     except ExchangeFailure as failure:
-        return _classify(job, failure)
+        connection.close()
+        return _classify(failure)
+    try:
+        return _follow(sent, exchange)
+    except ExchangeFailure as failure:
+        return _classify(failure)
     finally:
-        if exchange is None:
-            connection.close()
-        elif exchange.is_reusable():
-            tools.pool.give_back(address, exchange)
-        else:
-            exchange.close()
-    return outcome
-
-
-def _outgoing(
-    job: Job,
-    target: Target,
-    urgency: int | None,
-    tools: SendTools,
-) -> Outgoing:
+        sent.tools.pool.give_back(sent.target.entry.address, exchange)
+
+
+def _connect(sent: Send) -> Connection:
+    return sent.tools.pool.take(
+        sent.target.entry.address,
+        min(CONNECT_MOST, sent.time_left()),
+        None if sent.job.route.is_repeatable else FRESH_IDLE,
+    )
+
+
+def _outgoing(sent: Send) -> Outgoing:
+    job = sent.job
     request = job.request
-    headers = request.headers.end_to_end(tools.dialect.kept_fields)
+    dialect = sent.tools.dialect
+    headers = request.headers.end_to_end(dialect.kept_fields)
     if request.is_chunked:
         headers = headers.replaced(
             (('Content-Length', str(len(request.body))),),
         )
-    addressed = tools.dialect.address(
+    addressed = dialect.address(
         headers,
         Addressing(
-            target_id=target.entry.target_id,
+            target_id=sent.target.entry.target_id,
             workspace=job.workspace.name if job.workspace else None,
-            time_left=job.time_left(tools.clock.elapsed()) - RETURN_TIME,
-            urgency=urgency,
+            time_left=sent.time_left() - RETURN_TIME,
+            urgency=sent.urgency,
             last_event_id=job.last_event_id,
         ),
     )
     return Outgoing(request.method, request.target, addressed, request.body)
 
 
-def _follow(
-    job: Job,
-    target: Target,
-    in_flight: InFlight,
-    exchange: Exchange,
-    tools: SendTools,
-) -> Outcome:
-    clock = tools.clock
-    head = _await(
-        lambda: exchange.read_head(_patience(job, clock.elapsed())),
-        job,
-        target,
-        in_flight,
-        clock,
-    )
-    terms = tools.dialect.read_answer(head)
-    target.heard_at = clock.elapsed()
-    if terms.load is not None:
-        target.load = terms.load
-        target.load_at = clock.elapsed()
-    if terms.request_id not in {None, job.terms.request_id}:
+def _follow(sent: Send, exchange: Exchange) -> Outcome:
+    """Read the answer and decide what it is worth."""
+    head = _await(sent, lambda: exchange.read_head(_patience(sent)))
+    sent.note_heard()
+    terms = sent.tools.dialect.read_answer(head)
+    _note_load(sent, terms)
+    if terms.request_id not in {None, sent.job.terms.request_id}:
         return Outcome(Ending.UNKNOWN, 'the answer is to another request')
     if terms.was_not_run:
-        return _not_run(job, head, terms, target, exchange, clock)
-    is_stream = job.route.kind is RouteKind.STREAMING
+        return _read_refusal(sent, exchange, head, terms)
+    is_stream = sent.job.route.kind is RouteKind.STREAMING
     if is_stream and head.status == OK:
-        if not terms.is_proven and not job.events:
+        if not terms.is_proven and not sent.job.events:
             return Outcome(Ending.UNKNOWN, 'the answer bears no proof')
-        return _pass_stream(job, target, in_flight, exchange, tools)
-    body = exchange.read_body(lambda: job.time_left(clock.elapsed()))
-    answer = WholeAnswer(head, body)
-    if head.status in PROMISING_STATUSES:
+        return _pass_stream(sent, exchange, head)
+    answer = WholeAnswer(head, exchange.read_body(sent.time_left))
+    return _judge(answer, terms)
+
+
+def _judge(answer: WholeAnswer, terms: AnswerTerms) -> Outcome:
+    status = answer.head.status
+    if status in PROMISING_STATUSES:
         return Outcome(
             Ending.UNKNOWN,
-            f'the target answered {head.status} without proof of no run',
-        )
-    if head.status >= FIRST_SERVER_ERROR:
-        return Outcome(
-            Ending.FAILED,
-            f'the target answered {head.status}',
-            answer,
+            f'the target answered {status} without proof of no run',
         )
+    if status >= FIRST_SERVER_ERROR:
+        return Outcome(Ending.FAILED, f'the target answered {status}', answer)
     if not terms.is_proven:
         return Outcome(Ending.UNKNOWN, 'the answer bears no proof')
     return Outcome(Ending.DELIVERED, answer=answer)
 
 
-def _not_run(
-    job: Job,
+def _note_load(sent: Send, terms: AnswerTerms) -> None:
+    if terms.load is not None:
+        sent.target.load = terms.load
+        sent.target.load_at = sent.tools.clock.elapsed()
+
+
+def _read_refusal(
+    sent: Send,
+    exchange: Exchange,
     head: ResponseHead,
     terms: AnswerTerms,
-    target: Target,
-    exchange: Exchange,
-    clock: Clock,
 ) -> Outcome:
+    """Read the rest of a refusal, so that its connection can be kept."""
     try:
-        exchange.read_body(lambda: job.time_left(clock.elapsed()))
+        exchange.read_body(sent.time_left)
     except ExchangeFailure as failure:
-        job.steps.append(f'refusal cut short: {failure.message}')
-    is_other = terms.is_misdirected and terms.target_id not in {
-        None,
-        target.entry.target_id,
-    }
+        sent.job.steps.append(f'refusal cut short: {failure.message}')
+    own_id = sent.target.entry.target_id
+    is_other = terms.is_misdirected and terms.target_id not in {None, own_id}
     return Outcome(
         Ending.NOT_RUN,
         f'the target refused with {head.status}',
-        is_misdirected=terms.is_misdirected,
+        lacks_model=terms.is_misdirected and not is_other,
         is_unreachable=is_other,
     )
 
 
 def _pass_stream(
-    job: Job,
-    target: Target,
-    in_flight: InFlight,
+    sent: Send,
     exchange: Exchange,
-    tools: SendTools,
+    head: ResponseHead,
 ) -> Outcome:
     """Pass events on as they come; the head goes with the first one."""
-    head = exchange.read_head(None)
     splitter = EventSplitter()
     try:
-        piece = _await(
-            lambda: exchange.read_piece(_patience(job, tools.clock.elapsed())),
-            job,
-            target,
-            in_flight,
-            tools.clock,
-        )
-        while piece is not None:
-            for event in splitter.feed(piece):
-                if not in_flight.is_started:
-                    tools.on_first_event(job, target, in_flight)
-                _start_reply(job, head, tools)
-                job.reply.send_piece(event.encoded)
-                job.events += 1
-                job.last_event_id = event.event_id or job.last_event_id
-            piece = exchange.read_piece(_gap_time(job, in_flight, tools.clock))
+        _pass_events(sent, exchange, head, splitter)
     except ExchangeFailure as failure:
-        if job.events and failure.fault is not Fault.UNSENT:
+        if sent.job.events:
             return Outcome(Ending.BROKEN_OFF, failure.message)
         raise
     rest = splitter.take_rest()
-    _start_reply(job, head, tools)
+    _start_reply(sent, head)
     if rest:
-        job.reply.send_piece(rest)
-    job.reply.finish()
+        sent.job.reply.send_piece(rest)
+    sent.job.reply.finish()
     return Outcome(Ending.DELIVERED)
 
 
-def _start_reply(job: Job, head: ResponseHead, tools: SendTools) -> None:
-    if not job.reply.is_started:
-        job.reply.start(
-            head.status,
-            head.headers.end_to_end(tools.dialect.kept_fields),
-        )
-
-
-def _patience(job: Job, now: timedelta) -> timedelta:
-    left = job.time_left(now)
-    can_repeat = (
-        job.route.is_repeatable and job.runs + 1 < job.route.attempts_most
-    )
-    if not can_repeat:
+def _pass_events(
+    sent: Send,
+    exchange: Exchange,
+    head: ResponseHead,
+    splitter: EventSplitter,
+) -> None:
+    def read() -> bytes | None:
+        return exchange.read_piece(_patience(sent))
+
+    piece = _await(sent, read)
+    while piece is not None:
+        sent.note_heard()
+        for event in splitter.feed(piece):
+            _pass_event(sent, head, event)
+        piece = _await(sent, read)
+
+
+def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
+    job = sent.job
+    if not sent.in_flight.is_started:
+        sent.tools.on_first_event(job, sent.target, sent.in_flight)
+    _start_reply(sent, head)
+    job.reply.send_piece(event.encoded)
+    job.events += 1
+    job.last_event_id = event.event_id or job.last_event_id
+
+
+def _start_reply(sent: Send, head: ResponseHead) -> None:
+    reply = sent.job.reply
+    if not reply.is_started:
+        kept = sent.tools.dialect.kept_fields
+        reply.start(head.status, head.headers.end_to_end(kept))
+
+
+def _patience(sent: Send) -> timedelta:
+    """Return how long to wait for the next bytes."""
+    route = sent.job.route
+    left = sent.time_left()
+    if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
         return left
-    patience = max(job.route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
+    if sent.in_flight.is_started:
+        return min(left, GAP_PATIENCE)
+    patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
     return min(left, patience)
 
 
-def _await(
-    read: Callable[[], Received],
-    job: Job,
-    target: Target,
-    in_flight: InFlight,
-    clock: Clock,
-) -> Received:
+def _await(sent: Send, read: Callable[[], Received]) -> Received:
     """Read with patience, and on while the target answers others.
 
     A busy target is late for all; to break off there and send anew would
@@ -293,27 +307,18 @@
         try:
             return read()
         except ExchangeFailure as failure:
-            if failure.fault is not Fault.TIMED_OUT:
-                raise
-            is_alive = target.heard_at > in_flight.sent_at
-            if not is_alive or job.time_left(clock.elapsed()) <= timedelta():
+            if _is_final(sent, failure):
                 raise
 
 
-def _gap_time(job: Job, in_flight: InFlight, clock: Clock) -> timedelta:
-    if in_flight.is_started:
-        return job.time_left(clock.elapsed())
-    return _patience(job, clock.elapsed())
+def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
+    if failure.fault is not Fault.TIMED_OUT:
+        return True
+    is_alive = sent.target.heard_at > sent.in_flight.heard_at
+    return not is_alive or sent.time_left() <= timedelta()
 
 
-def _classify(job: Job, failure: ExchangeFailure) -> Outcome:
-    if failure.fault is Fault.UNSENT:
-        return Outcome(
-            Ending.NOT_RUN,
-            failure.message,
-            arrived=False,
-            is_unreachable=True,
-        )
+def _classify(failure: ExchangeFailure) -> Outcome:
     return Outcome(
         Ending.UNKNOWN,
         failure.message,
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -0,0 +1,188 @@
+"""Ending a request: refusals in true words, its account and its log line."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_http.server import Reply
+from verbenamux_relay.allowance import Allowance
+from verbenamux_relay.catalog import Catalog
+from verbenamux_relay.dialect import (
+    Dialect,
+    Refusal,
+)
+from verbenamux_relay.job import Job
+from verbenamux_relay.sending import WholeAnswer
+from verbenamux_relay.terms import (
+    RequestTerms,
+)
+from verbenamux_relay.waiting import retry_after
+from verbenamux_runtime.metrics import Metrics
+
+TOO_MANY = 429
+UNAVAILABLE = 503
+# When a route, key or target that this gateway does not know may be there.
+NEWS_TIME = timedelta(milliseconds=300)
+# Endings after which a workspace's limit stays charged.
+CHARGED_ENDINGS = frozenset(('delivered', 'broken_off', 'caller_gone'))
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """The configuration as a gateway knows it, and how sure it is.
+
+    `confirmed_for` is the time since it was known to be the newest.
+    """
+
+    catalog: Catalog | None
+    confirmed_for: timedelta
+    is_key_trusted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SettleTools:
+    """What ending a request needs of its process."""
+
+    clock: Clock
+    dialect: Dialect
+    allowance: Allowance
+    metrics: Metrics
+    random: Random
+    knowledge: Callable[[], Knowledge]
+    log: Callable[..., None]
+
+
+class RequestRefusedError(Exception):
+    """A request that the gateway answers by itself.
+
+    `wait` is when it may be served, where coming back helps.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        cause: str,
+        wait: timedelta | None = None,
+    ) -> None:
+        """Keep what the answer says."""
+        super().__init__(cause)
+        self.status = status
+        self.cause = cause
+        self.wait = wait
+
+
+def refuse(
+    job: Job,
+    refused: RequestRefusedError,
+    tools: SettleTools,
+) -> None:
+    """Answer a job that was admitted and came to nothing."""
+    wait = None
+    if refused.status in {TOO_MANY, UNAVAILABLE}:
+        wait = retry_after(
+            refused.wait or NEWS_TIME,
+            job.time_left(tools.clock.elapsed()),
+            tools.random,
+        )
+    job.cause = refused.cause
+    refusal = Refusal(
+        refused.status,
+        refused.cause,
+        job.terms.request_id,
+        wait,
+    )
+    try:
+        answer(job.reply, refusal, tools)
+    finally:
+        settle(job, f'refused_{refused.status}', tools)
+
+
+def refuse_early(
+    reply: Reply,
+    terms: RequestTerms,
+    refused: RequestRefusedError,
+    tools: SettleTools,
+) -> None:
+    """Answer a request that was not admitted."""
+    wait = refused.wait
+    if wait is not None:
+        wait = retry_after(wait, terms.time_left or wait * 3, tools.random)
+    known = tools.knowledge()
+    tools.log(
+        'request_refused',
+        request=terms.request_id,
+        status=refused.status,
+        cause=refused.cause,
+        catalog_version=known.catalog.version if known.catalog else None,
+        catalog_age_ms=whole_ms(known.confirmed_for),
+    )
+    tools.metrics.count(
+        'requests_total',
+        outcome=f'refused_{refused.status}',
+    )
+    refusal = Refusal(refused.status, refused.cause, terms.request_id, wait)
+    answer(reply, refusal, tools)
+
+
+def answer(reply: Reply, refusal: Refusal, tools: SettleTools) -> None:
+    """Write an answer of the gateway's own; raises CallerGone."""
+    headers, body = tools.dialect.word_refusal(refusal)
+    reply.send(refusal.status, headers, body)
+
+
+def deliver(
+    job: Job,
+    whole: WholeAnswer | None,
+    tools: SettleTools,
+) -> None:
+    """Pass a target's whole answer on, unless it went out as a stream."""
+    if whole is not None:
+        job.reply.send(
+            whole.head.status,
+            whole.head.headers.end_to_end(tools.dialect.kept_fields),
+            whole.body,
+        )
+    settle(job, 'delivered', tools)
+
+
+def settle(job: Job, outcome: str, tools: SettleTools) -> None:
+    """Account for a request that ended, and log how."""
+    has_run = bool(job.runs) or outcome in CHARGED_ENDINGS
+    if job.workspace is not None and not has_run:
+        tools.allowance.refund(job.workspace, job.charged)
+    now = tools.clock.elapsed()
+    tools.metrics.count(
+        'requests_total',
+        outcome=outcome,
+        route=job.route.name,
+    )
+    tools.metrics.observe('request', now - job.arrived_at)
+    first_at = job.first_event_at
+    if first_at is not None:
+        tools.metrics.observe('first_event', first_at - job.arrived_at)
+    known = tools.knowledge()
+    tools.log(
+        'request_ended',
+        request=job.terms.request_id,
+        route=job.route.name,
+        outcome=outcome,
+        cause=job.cause,
+        model=job.terms.model_key,
+        target=job.target_id,
+        sends=job.sends,
+        runs=job.runs,
+        events=job.events,
+        steps=len(job.steps) if outcome == 'delivered' else job.steps,
+        wait_ms=whole_ms((job.sent_at or now) - job.arrived_at),
+        first_event_ms=whole_ms((first_at or now) - job.arrived_at),
+        total_ms=whole_ms(now - job.arrived_at),
+        catalog_version=job.catalog.version,
+        catalog_age_ms=whole_ms(known.confirmed_for),
+    )
+
+
+def whole_ms(duration: timedelta) -> int:
+    """Return a duration in whole milliseconds, for a log line."""
+    return duration // timedelta(milliseconds=1)
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from verbenamux_http.client import Address
-from verbenamux_relay.dialect import LoadNotice
+from verbenamux_relay.terms import (
+    LoadNotice,
+)
 
 # A report or load notice older than this says nothing of the load.
 LOAD_NOTICE_MOST = timedelta(milliseconds=1500)
@@ -27,7 +28,7 @@
 
     target_id: str
     service: str
-    address: Address
+    address: tuple[str, int]
     data_centre: str
     slots: int
     is_draining: bool = False
@@ -55,9 +56,13 @@
 
 @dataclass(slots=True)
 class InFlight:
-    """A request this gateway has at a target."""
+    """A request this gateway has at a target.
+
+    `heard_at` is when the target last sent anything for it.
+    """
 
     sent_at: timedelta
+    heard_at: timedelta
     missing_tokens: int
     total_tokens: int
     is_started: bool = False
@@ -121,9 +126,8 @@
     def is_suspect(self, now: timedelta) -> bool:
         """Tell whether it has been silent on a request for too long."""
         return any(
-            not sent.is_started
-            and now - sent.sent_at > SUSPECT_AFTER
-            and self.heard_at < sent.sent_at
+            now - sent.heard_at > SUSPECT_AFTER
+            and self.heard_at <= sent.heard_at
             for sent in self.in_flight.values()
         )
 
@@ -151,13 +155,17 @@
 
     def _notice(self, now: timedelta) -> LoadNotice | None:
         report = self.report
-        if report is not None and now - report.received_at < LOAD_NOTICE_MOST:
-            if self.load is None or report.received_at >= self.load_at:
+        is_newest = report is not None and (
+            self.load is None or report.received_at >= self.load_at
+        )
+        if report is not None and is_newest:
+            if now - report.received_at < LOAD_NOTICE_MOST:
                 return LoadNotice(
                     report.active,
                     report.queued,
                     self.entry.slots,
                 )
+            return None
         if self.load is not None and now - self.load_at < LOAD_NOTICE_MOST:
             return self.load
         return None
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/terms.py
@@ -0,0 +1,46 @@
+"""What callers and targets say of a request, besides the request itself."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTerms:
+    """What a caller says of its request besides the request itself.
+
+    `time_left` is how long the caller waits, None when it does not say.
+    """
+
+    request_id: str
+    host: str
+    key: str | None = None
+    time_left: timedelta | None = None
+    model: str | None = None
+    adapter: str | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    names_tokens: bool = False
+    parts: tuple[PromptPart, ...] = ()
+    last_event_id: str | None = None
+
+    @property
+    def model_key(self) -> str:
+        """Name the model with its adapter, which own their kept prompts."""
+        return f'{self.model or ""}/{self.adapter or ""}'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadNotice:
+    """A target's own count of its requests."""
+
+    running: int
+    waiting: int
+    slots: int
