Set aside targets whose address another one answers at

Cause: behind a loss of power all engines are back with new ids at their old addresses, and the registry lists both lives for some seconds. Ruled out: loads that start late (first orders 0.3 s behind the keepers' start). Now: of two entries at one address the one that started last counts, and a 421 with another id sets a target aside for 5 s. Requests then wait for the model.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -335,10 +335,11 @@
     `pending` lists models and adapters that are being loaded. While
     `store_loads_ready` is false, this engine's part of the weight store's
     pace is spent. `notice_version` is that of the newest EngineNotice, 0
-    without any.
+    without any. `started_ms` is the Unix time of the engine's start.
     """
 
     target_id: str
+    started_ms: int = 0
     service: str = ''
     address: str = ''
     data_centre: str = ''
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -180,6 +180,7 @@
             pending.add(self.state.ordering)
         return KeeperReport(
             target_id=self.state.target_id or '',
+            started_ms=engine.started_ms,
             service=self._place.service,
             address=self._place.address,
             data_centre=self._place.data_centre,
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -150,7 +150,7 @@
 
     def put_target(self, entry: TargetEntry) -> None:
         """Take in a registry entry."""
-        is_new = self.beliefs.book.put(entry)
+        is_new = self.beliefs.book.put(entry, self._clock.elapsed())
         target = self.beliefs.book.by_id[entry.target_id]
         if is_new:
             self._log(
@@ -406,6 +406,7 @@
                 data_centre=message.data_centre,
                 slots=engine.slots,
                 models=frozenset(message.models),
+                started_ms=message.started_ms,
             ),
         )
         return self.beliefs.book.by_id[message.target_id]
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -88,7 +88,7 @@
 
     An entry that was just removed may come back, if its target answers.
     """
-    if target.entry.is_draining:
+    if target.entry.is_draining or target.replaced_until > now:
         return False
     if target.removed_at is None:
         return True
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from verbenamux_contracts.clock import to_milliseconds
 from verbenamux_http.errors import CallerGone, RequestError
 from verbenamux_http.parsing import Request
 from verbenamux_http.server import Reply
@@ -40,7 +41,7 @@
     refuse_early,
     settle,
 )
-from verbenamux_relay.targets import InFlight, Target
+from verbenamux_relay.targets import REPLACED_REST, InFlight, Target
 from verbenamux_relay.waiting import Outlook, Verdict, judge, urgency
 
 BAD_REQUEST = 400
@@ -346,10 +347,23 @@
     if outcome.lacks_model:
         target.absent_models.add(job.terms.model or '')
         tools.beliefs.prompts.forget_model(target_id, job.terms.model or '')
+    elif outcome.is_replaced:
+        _set_aside(job, target, tools)
     elif outcome.ending is not Ending.NOT_RUN or outcome.is_unreachable:
         _doubt(job, target, outcome, tools)
 
 
+def _set_aside(job: Job, target: Target, tools: RelayTools) -> None:
+    """Send nothing more to a target whose address is another's now."""
+    target.note_replaced(tools.now())
+    tools.settling.log(
+        'target_replaced',
+        request_id=job.terms.request_id,
+        target=target.entry.target_id,
+        rest_ms=to_milliseconds(REPLACED_REST),
+    )
+
+
 def _doubt(
     job: Job,
     target: Target,
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -70,7 +70,8 @@
     """How a send ended, and why.
 
     `arrived` is false when no byte reached the target. `lacks_model` is
-    true when the target does not hold what the request is for.
+    true when the target does not hold what the request is for,
+    `is_replaced` when another target answered at its address.
     """
 
     ending: Ending
@@ -79,6 +80,7 @@
     arrived: bool = True
     lacks_model: bool = False
     is_unreachable: bool = False
+    is_replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,7 +228,7 @@
         Ending.NOT_RUN,
         f'the target refused with {head.status}',
         lacks_model=terms.is_misdirected and not is_other,
-        is_unreachable=is_other,
+        is_replaced=is_other,
     )
 
 
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -16,13 +16,19 @@
 # A request without any sign of life from its target for this long makes the
 # target suspect: several times what an idle one takes to answer.
 SUSPECT_AFTER = timedelta(milliseconds=900)
+# A target whose address another one answers at gets nothing for this long;
+# the registry drops its entry after three check-ins that fail to come.
+REPLACED_REST = timedelta(seconds=5)
 # A keeper reports at least twice a second; beyond this it is silent.
 KEEPER_SILENCE = timedelta(milliseconds=1300)
 
 
 @dataclass(frozen=True, slots=True)
 class TargetEntry:
-    """A target as the platform's registry lists it."""
+    """A target as the platform's registry lists it.
+
+    `started_ms` is the Unix time of its start, 0 where it is not known.
+    """
 
     target_id: str
     service: str
@@ -31,6 +37,7 @@
     slots: int
     is_draining: bool = False
     models: frozenset[str] = frozenset()
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +89,7 @@
     absent_models: set[str] = field(default_factory=set)
     in_flight: dict[int, InFlight] = field(default_factory=dict)
     removed_at: timedelta | None = None
+    replaced_until: timedelta = timedelta()
 
     @property
     def models(self) -> frozenset[str]:
@@ -136,6 +144,10 @@
             now - report.received_at > KEEPER_SILENCE
         )
 
+    def note_replaced(self, now: timedelta) -> None:
+        """Note that another target answers at its address."""
+        self.replaced_until = now + REPLACED_REST
+
     def note_success(self, now: timedelta) -> None:
         """Believe in a target that answered."""
         self.heard_at = now
@@ -176,15 +188,40 @@
         """Start with no target known."""
         self.by_id: dict[str, Target] = {}
 
-    def put(self, entry: TargetEntry) -> bool:
-        """Take in an entry; tell whether the target is new."""
+    def put(self, entry: TargetEntry, now: timedelta) -> bool:
+        """Take in an entry; tell whether the target is new.
+
+        Of two targets at one address, the one that started last is there.
+        """
         target = self.by_id.get(entry.target_id)
+        is_new = target is None
         if target is None:
-            self.by_id[entry.target_id] = Target(entry)
-            return True
+            target = Target(entry)
+            self.by_id[entry.target_id] = target
+        if entry.started_ms > target.entry.started_ms:
+            target.replaced_until = timedelta()
         target.entry = entry
         target.removed_at = None
-        return False
+        if is_new:
+            self._settle_address(target, now)
+        return is_new
+
+    def _settle_address(self, added: Target, now: timedelta) -> None:
+        """Set aside all but the newest target at an address."""
+        sharing = [
+            target
+            for target in self.by_id.values()
+            if target.entry.address == added.entry.address
+            and target.entry.started_ms
+        ]
+        newest = max(
+            sharing,
+            key=lambda target: target.entry.started_ms,
+            default=added,
+        )
+        for target in sharing:
+            if target.entry.started_ms < newest.entry.started_ms:
+                target.note_replaced(now)
 
     def mark_removed(self, target_id: str, now: timedelta) -> None:
         """Note that the registry lists a target no more."""
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -131,6 +131,7 @@
                     'here',
                     8,
                 ),
+                timedelta(),
             )
         self.route = Route(
             'r',
@@ -260,6 +261,14 @@
     assert reply.status == 200
 
 
+def test_a_target_whose_address_is_anothers_gets_nothing_more():
+    """All engines restarted; the registry still lists their last lives."""
+    world = World(FakeTarget(OTHER, OTHER), FakeTarget(OTHER, OTHER))
+    assert [world.ask().status for _ in range(3)] == [503, 503, 503]
+    asked = [len(target.requests) for target in world.targets.values()]
+    assert asked == [1, 1]
+
+
 def test_only_what_may_be_repeated_is_sent_again_after_a_lost_answer():
     for kind, status in (
         (RouteKind.IDEMPOTENT, 200),
--- /dev/null
+++ b/tests/relay/test_targets.py
@@ -0,0 +1,56 @@
+"""What a gateway believes of targets that share an address or came back."""
+
+from datetime import timedelta
+
+import pytest
+
+from verbenamux_relay.picking import is_serving
+from verbenamux_relay.targets import REPLACED_REST, TargetBook, TargetEntry
+
+NOW = timedelta(seconds=100)
+ADDRESS = ('10.0.0.1', 80)
+
+
+def entry(name, started_ms, address=ADDRESS):
+    return TargetEntry(name, 's', address, 'z', 8, started_ms=started_ms)
+
+
+def serving(book, now=NOW):
+    return {
+        target.entry.target_id
+        for target in book.by_id.values()
+        if is_serving(target, now)
+    }
+
+
+@pytest.mark.parametrize('order', [('old', 'new'), ('new', 'old')])
+def test_of_two_targets_at_one_address_the_newest_serves(order):
+    """All engines restarted; the registry still lists their last lives."""
+    book = TargetBook()
+    started = {'old': 1000, 'new': 2000}
+    for name in order:
+        book.put(entry(name, started[name]), NOW)
+    assert serving(book) == {'new'}
+
+
+@pytest.mark.parametrize(
+    'second',
+    [entry('b', 0), entry('b', 2000, ('10.0.0.2', 80))],
+)
+def test_without_a_start_or_at_another_address_both_serve(second):
+    book = TargetBook()
+    book.put(entry('a', 1000), NOW)
+    book.put(second, NOW)
+    assert serving(book) == {'a', 'b'}
+
+
+def test_a_replaced_target_serves_again_once_it_restarted_or_in_time():
+    book = TargetBook()
+    book.put(entry('a', 1000), NOW)
+    book.by_id['a'].note_replaced(NOW)
+    assert not serving(book)
+    book.put(entry('a', 1000), NOW)
+    assert not serving(book)
+    assert serving(book, NOW + REPLACED_REST) == {'a'}
+    book.put(entry('a', 3000), NOW)
+    assert serving(book) == {'a'}
