Let requests for adapters wait for a model load that ends soon

Now: keepers tell for how long the order has been under way, gateways predict its end from the model's load time, an adapter's order waits at the keeper, and adapters that waited go before the engine's next model.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -335,7 +335,8 @@
     `pending` lists models and adapters that are being loaded. While
     `store_loads_ready` is false, this engine's part of the weight store's
     pace is spent. `notice_version` is that of the newest EngineNotice, 0
-    without any. `started_ms` is the Unix time of the engine's start.
+    without any. `started_ms` is the Unix time of the engine's start,
+    `ordered_ms` how long ago the model order under way was asked for.
     """
 
     target_id: str
@@ -354,6 +355,7 @@
     used_tokens: int = 0
     total_tokens: int = 0
     is_ordering: bool = False
+    ordered_ms: int = 0
     store_loads_ready: bool = True
 
 
@@ -366,11 +368,15 @@
 
 
 class AdapterAsk(Message, frozen=True):
-    """A gateway asks a keeper to load an adapter of a model it holds."""
+    """A gateway asks a keeper to load an adapter of a model it holds.
+
+    `patience_ms` bounds the wait for a model that the engine is loading.
+    """
 
     ask_id: str
     model: str
     adapter: str
+    patience_ms: int = 0
 
 
 class AdapterUse(Message, frozen=True):
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent.lock import RLock
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.messages import (
     AdapterAsk,
     AdapterUse,
@@ -48,6 +48,8 @@
 MODEL_REST = timedelta(milliseconds=1200)
 # Adapters that may be on their way to an engine at the same time.
 ADAPTERS_PENDING_MOST = 4
+# Adapters that waited for a model order go first for at most this long.
+ADAPTERS_TURN = timedelta(milliseconds=120)
 # Pause before an order that got no answer is sent again.
 ANSWER_PAUSE = timedelta(milliseconds=200)
 
@@ -74,6 +76,8 @@
     notice: EngineNotice | None = None
     fencing_token: int | None = None
     ordering: str | None = None
+    ordered_at: timedelta = timedelta()
+    adapters_waiting: int = 0
     subscribers: dict[bytes, timedelta] = field(default_factory=dict)
     used_at_by_adapter: dict[str, timedelta] = field(default_factory=dict)
     loaded_at_by_model: dict[str, timedelta] = field(default_factory=dict)
@@ -195,6 +199,7 @@
             used_tokens=engine.used_tokens,
             total_tokens=engine.total_tokens,
             is_ordering=engine.is_busy or self.state.ordering is not None,
+            ordered_ms=self._ordered_ms(),
             store_loads_ready=notice is not None
             and self._pace.is_ready(
                 notice.store_loads_per_second,
@@ -202,6 +207,11 @@
             ),
         )
 
+    def _ordered_ms(self) -> int:
+        if self.state.ordering is None:
+            return 0
+        return to_milliseconds(self._clock.elapsed() - self.state.ordered_at)
+
     def _greet(self, sender: bytes) -> None:
         is_new = sender not in self.state.subscribers
         self.state.subscribers[sender] = self._clock.elapsed()
@@ -218,7 +228,9 @@
 
     def _answer_model(self, sender: bytes, ask: ModelAsk) -> None:
         with self._models_lock:
+            self._let_adapters_pass()
             self.state.ordering = ask.model
+            self.state.ordered_at = self._clock.elapsed()
             self.tell()
             cause = self._load_model(ask)
             self.state.ordering = None
@@ -232,6 +244,18 @@
         self.tell()
         self._send(sender, LoadReply(ask.ask_id, not cause, cause))
 
+    def _let_adapters_pass(self) -> None:
+        """Wait for adapters whose orders waited for the model before.
+
+        Load pattern: an engine that restarted loads one model behind the
+        other, while requests for adapters of the first ones wait.
+        """
+        give_up_at = self._clock.elapsed() + ADAPTERS_TURN
+        while self.state.adapters_waiting:
+            if self._clock.elapsed() >= give_up_at:
+                return
+            self._clock.sleep(ADAPTER_PERIOD)
+
     def _load_model(self, ask: ModelAsk) -> str:
         """Load a model; return why it is not in place, or nothing."""
         engine = self.refresh()
@@ -296,7 +320,12 @@
         )
 
     def _answer_adapter(self, sender: bytes, ask: AdapterAsk) -> None:
-        cause = self._load_adapter(ask)
+        self.state.adapters_waiting += 1
+        try:
+            self._await_order(timedelta(milliseconds=ask.patience_ms))
+            cause = self._load_adapter(ask)
+        finally:
+            self.state.adapters_waiting -= 1
         self._send(sender, LoadReply(ask.ask_id, not cause, cause))
 
     def _load_adapter(self, ask: AdapterAsk) -> str:
@@ -323,6 +352,12 @@
         self.tell()
         return cause
 
+    def _await_order(self, patience: timedelta) -> None:
+        """Wait while the engine loads a model and takes no other order."""
+        give_up_at = self._clock.elapsed() + patience
+        while self.state.ordering and self._clock.elapsed() < give_up_at:
+            self._clock.sleep(ADAPTER_PERIOD)
+
     def _order_adapter(
         self,
         ask: AdapterAsk,
--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -16,8 +16,6 @@
 FAILURE_PENALTY = timedelta(seconds=3)
 # An adapter that must be loaded first, with the message to the keeper.
 ADAPTER_LOAD = timedelta(milliseconds=25)
-# An engine takes no order while it loads a model, which takes so long.
-ORDER_WAIT = timedelta(seconds=2)
 # What a silent keeper counts against its target.
 UNWATCHED_PENALTY = timedelta(milliseconds=150)
 # What sending to another data centre costs against an equal local target,
@@ -35,7 +33,8 @@
 
     `waiting_tokens` are prompt tokens to be read before this request's own
     `missing_tokens`; `tokens_per_second` is how fast it reads them.
-    `overflow_tokens` is what would not fit its memory.
+    `overflow_tokens` is what would not fit its memory. `order_left` is how
+    long the engine still loads a model and takes no order for an adapter.
     """
 
     target_id: str
@@ -45,7 +44,7 @@
     tokens_per_second: float
     body_bytes: int = 0
     lacks_adapter: bool = False
-    is_ordering: bool = False
+    order_left: timedelta = timedelta()
     is_unwatched: bool = False
     overflow_tokens: int = 0
     failure_rate: float = 0
@@ -57,7 +56,7 @@
     tokens = option.waiting_tokens + option.missing_tokens
     predicted = timedelta(seconds=tokens / option.tokens_per_second)
     if option.lacks_adapter:
-        predicted += ORDER_WAIT if option.is_ordering else ADAPTER_LOAD
+        predicted += option.order_left + ADAPTER_LOAD
     return predicted + FULL_MEMORY_WAIT * max(option.overflow_tokens, 0)
 
 
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -446,6 +446,7 @@
         used_tokens=message.used_tokens,
         total_tokens=message.total_tokens,
         is_ordering=message.is_ordering,
+        ordered_for=timedelta(milliseconds=message.ordered_ms),
         store_loads_ready=message.store_loads_ready,
         notice_version=message.notice_version,
     )
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.ids import new_request_id
 from verbenamux_contracts.messages import (
     AdapterAsk,
@@ -23,6 +23,8 @@
 
 # How long a keeper may take for an adapter before another target is tried.
 ADAPTER_MOST = timedelta(milliseconds=400)
+# A model order may take longer than predicted by this factor.
+PATIENCE_FACTOR = 1.5
 # How long a keeper may take for a model, loads from a busy store included.
 MODEL_MOST = timedelta(seconds=12)
 # A keeper that fell silent meanwhile is noticed this fast.
@@ -73,16 +75,26 @@
             gevent.spawn(self._load_somewhere, service, model)
         self._changed.wait(timeout.total_seconds())
 
-    def load_adapter(self, target: Target, model: str, adapter: str) -> bool:
-        """Have an adapter loaded at a target; tell whether it is."""
+    def load_adapter(
+        self,
+        target: Target,
+        model: str,
+        adapter: str,
+        order_left: timedelta,
+    ) -> bool:
+        """Have an adapter loaded at a target; tell whether it is.
+
+        `order_left` is how long its engine takes no order yet.
+        """
         link = self.link_of(target.entry.target_id)
         if link is None:
             return False
         ask_id = new_request_id()
+        patience = order_left * PATIENCE_FACTOR
         reply = link.ask(
             ask_id,
-            AdapterAsk(ask_id, model, adapter),
-            ADAPTER_MOST,
+            AdapterAsk(ask_id, model, adapter, to_milliseconds(patience)),
+            ADAPTER_MOST + patience,
         )
         in_place = isinstance(reply, LoadReply) and reply.in_place
         if not in_place:
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -7,7 +7,7 @@
 
 from verbenamux_relay.catalog import EngineTerms, Service
 from verbenamux_relay.choosing import Option, choose, preferred
-from verbenamux_relay.placing import Holding
+from verbenamux_relay.placing import Holding, load_time
 from verbenamux_relay.prompts import PromptMemory, affinity
 from verbenamux_relay.targets import Target, TargetBook, TargetReport
 from verbenamux_relay.terms import RequestTerms
@@ -22,6 +22,9 @@
 PACE_WEIGHT = 0.1
 # Work of a plain request before any was observed.
 TYPICAL_WORK = timedelta(milliseconds=80)
+# A model order under way takes at least this long still; the same where
+# nothing is known of what is loaded.
+ORDER_LEAST = timedelta(milliseconds=100)
 # Stands for the model being loaded while a target only unloads one.
 UNLOADING = ''
 # A removed entry may come back for so long if its target still answers.
@@ -149,16 +152,19 @@
         report = target.report
         if report is None or target.has_silent_keeper(now):
             continue
-        if not is_serving(target, now):
-            continue
-        yield Holding(
-            target_id=target.entry.target_id,
-            models=report.models,
-            on_disk=report.on_disk,
-            in_memory=report.in_memory,
-            loading=_loading(report),
-            may_load_cold=report.store_loads_ready,
-        )
+        if is_serving(target, now):
+            yield _holding(target.entry.target_id, report)
+
+
+def _holding(target_id: str, report: TargetReport) -> Holding:
+    return Holding(
+        target_id=target_id,
+        models=report.models,
+        on_disk=report.on_disk,
+        in_memory=report.in_memory,
+        loading=_loading(report),
+        may_load_cold=report.store_loads_ready,
+    )
 
 
 def _loading(report: TargetReport) -> str | None:
@@ -201,9 +207,9 @@
         missing_tokens=missing,
         tokens_per_second=beliefs.paces.of(query.terms.model),
         lacks_adapter=lacks_adapter,
-        is_ordering=lacks_adapter
-        and target.report is not None
-        and target.report.is_ordering,
+        order_left=_order_left(target, engine, now)
+        if lacks_adapter
+        else timedelta(),
         is_unwatched=target.has_silent_keeper(now),
         overflow_tokens=_overflow(target, query.terms, engine),
         failure_rate=target.failure_rate,
@@ -211,6 +217,23 @@
     )
 
 
+def _order_left(
+    target: Target,
+    engine: EngineTerms,
+    now: timedelta,
+) -> timedelta:
+    """Return how long a target's engine will take no order."""
+    report = target.report
+    if report is None or not report.is_ordering:
+        return timedelta()
+    holding = _holding(target.entry.target_id, report)
+    model = engine.models_by_name.get(holding.loading or UNLOADING)
+    if model is None:
+        return ORDER_LEAST
+    age = report.ordered_for + now - report.received_at
+    return max(load_time(model, holding) - age, ORDER_LEAST)
+
+
 def _overflow(target: Target, terms: RequestTerms, engine: EngineTerms) -> int:
     report = target.report
     if report is None:
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -215,7 +215,7 @@
     if not job.sends and _is_hopeless(job, option, tools.now()):
         return Choice(option=option)
     target = tools.beliefs.book.by_id[option.target_id]
-    if option.lacks_adapter and not _load_adapter(job, target, tools):
+    if option.lacks_adapter and not _load_adapter(job, target, option, tools):
         return None
     return Choice(target, option)
 
@@ -239,11 +239,16 @@
     return judge(outlook) is Verdict.REFUSE
 
 
-def _load_adapter(job: Job, target: Target, tools: RelayTools) -> bool:
+def _load_adapter(
+    job: Job,
+    target: Target,
+    option: Option,
+    tools: RelayTools,
+) -> bool:
     terms = job.terms
     model = terms.model or ''
     adapter = terms.adapter or ''
-    if tools.loader.load_adapter(target, model, adapter):
+    if tools.loader.load_adapter(target, model, adapter, option.order_left):
         return True
     job.excluded.add(target.entry.target_id)
     job.steps.append(f'no adapter at {target.entry.target_id}')
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetReport:
-    """A target as the keeper beside it sees it; times are monotonic."""
+    """A target as the keeper beside it sees it; times are monotonic.
+
+    `ordered_for` is the age of the model order under way at that time.
+    """
 
     target_id: str
     received_at: timedelta
@@ -56,6 +59,7 @@
     used_tokens: int = 0
     total_tokens: int = 0
     is_ordering: bool = False
+    ordered_for: timedelta = timedelta()
     store_loads_ready: bool = True
     notice_version: int = 0
 
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -3,13 +3,15 @@
 from datetime import timedelta
 from random import Random
 
+import gevent
 import pytest
 
-from verbenamux_contracts.clock import ManualClock
+from verbenamux_contracts.clock import ManualClock, SystemClock
 from verbenamux_contracts.messages import (
     AdapterAsk,
     EngineNotice,
     KeeperHello,
+    LoadReply,
     ModelAsk,
     ModelSize,
 )
@@ -301,3 +303,29 @@
         within = [at for at in starts if start <= at <= start + window]
         assert len(within) <= budget
     assert len(starts) > 60 * rate / 3
+
+
+def test_adapters_that_waited_for_a_load_go_before_the_next_model():
+    """An engine restarted: models load one by one while requests wait."""
+    engine = FakeEngine(SystemClock())
+    sent = []
+    keeper = Keeper(
+        PLACE,
+        engine.port(),
+        StorePace(engine.clock.elapsed),
+        engine.clock,
+        lambda sender, message: sent.append(message),
+        lambda event, **fields: None,
+    )
+    keeper.receive(b'gateway', NOTICE)
+    keeper.refresh()
+    for name in ('m1', 'm2'):
+        keeper.receive(b'gateway', ModelAsk(name, name))
+    gevent.sleep(0.1)
+    keeper.receive(b'gateway', AdapterAsk('a', 'm1', 'a1', 2000))
+    with gevent.Timeout(5):
+        while len(sent) < 3:
+            gevent.sleep(0.05)
+    replies = [message for message in sent if isinstance(message, LoadReply)]
+    assert [reply.ask_id for reply in replies] == ['m1', 'a', 'm2']
+    assert not [reply.cause for reply in replies if not reply.in_place]
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -15,7 +15,7 @@
     pick_share,
     routes_by_host,
 )
-from verbenamux_relay.choosing import Option, choose, preferred
+from verbenamux_relay.choosing import Option, choose, predict, preferred
 from verbenamux_relay.events import EventSplitter
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.waiting import (
@@ -68,11 +68,18 @@
 
 
 def test_an_engine_that_loads_a_model_takes_no_adapter_soon():
-    loading = option('loading', lacks_adapter=True, is_ordering=True)
+    loading = option('loading', lacks_adapter=True, order_left=SECOND * 2)
     behind = option('behind', lacks_adapter=True, waiting_tokens=30_000)
     assert choose((loading, behind), 'x') is behind
 
 
+def test_a_load_that_ends_soon_is_no_reason_to_refuse_an_adapter():
+    """Engines that restarted load their models again from their disks."""
+    ending = option('ending', lacks_adapter=True, order_left=SECOND * 0.5)
+    outlook = Outlook(predict(ending), SECOND * 5, SECOND * 0.8)
+    assert judge(outlook) is Verdict.SEND
+
+
 @given(st.lists(st.text(min_size=1), min_size=1, unique=True), st.randoms())
 def test_all_gateways_prefer_the_same_target(names, random):
     shuffled = list(names)
