--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -302,9 +302,13 @@
 
 
 class KeeperHello(Message, frozen=True):
-    """A gateway asks a keeper for reports of its engine."""
+    """A gateway asks a keeper for reports of its engine.
+
+    `wants_report` asks for a whole one at once.
+    """
 
     sender: str
+    wants_report: bool = False
 
 
 class ModelSize(msgspec.Struct, frozen=True, array_like=True):
@@ -337,6 +341,7 @@
     pace is spent. `notice_version` is that of the newest EngineNotice, 0
     without any. `started_ms` is the Unix time of the engine's start,
     `ordered_ms` how long ago the model order under way was asked for.
+    `revision` counts the reports whose holdings changed.
     """
 
     target_id: str
@@ -357,6 +362,20 @@
     is_ordering: bool = False
     ordered_ms: int = 0
     store_loads_ready: bool = True
+    revision: int = 0
+
+
+class KeeperLoad(Message, frozen=True):
+    """A keeper tells that it lives and what its engine has to do.
+
+    All else is as in the KeeperReport with the same `revision`.
+    """
+
+    target_id: str
+    revision: int
+    queued: int = 0
+    active: int = 0
+    used_tokens: int = 0
 
 
 class ModelAsk(Message, frozen=True):
@@ -395,31 +414,61 @@
 
 
 class UsageNotice(Message, frozen=True):
-    """A gateway tells the others what it spent and what waits there.
-
-    The sums start at zero with each `instance`. `left` is what it believes
-    each workspace may still spend. By model, `waiting` counts requests
-    before their first event, `asked` all requests.
+    """A gateway tells another what it spent and what waits there.
+
+    The sums start at zero with each `instance`. A notice holds what changed
+    since the one with the `number` before on this link, everything if it is
+    `whole`. `left`, in whole notices only, is what the sender believes each
+    workspace may still spend. By model, `waiting` counts requests before
+    their first event, `asked` all requests. `wants_whole` asks the receiver
+    for a whole notice.
     """
 
     sender: str
     instance: str
-    spent: dict[str, float]
-    waiting: dict[str, int]
-    asked: dict[str, int]
+    number: int
+    whole: bool = False
+    wants_whole: bool = False
+    spent: dict[str, float] = {}
+    waiting: dict[str, int] = {}
+    asked: dict[str, int] = {}
     left: dict[str, float] = {}
     leaving: bool = False
 
 
+class ReadAsk(Message, frozen=True):
+    """A gateway asks another for a topic's records from an offset on."""
+
+    ask_id: str
+    topic: str
+    from_offset: int
+
+
+class ReadReply(Message, frozen=True):
+    """The records that a read of the store found.
+
+    `found` is false when the read failed or the offset is not kept, `fresh`
+    when the read began before the ask came.
+    """
+
+    ask_id: str
+    found: bool
+    fresh: bool = False
+    records: tuple[bytes, ...] = ()
+
+
 RelayMessage: TypeAlias = (
     KeeperHello
     | EngineNotice
     | KeeperReport
+    | KeeperLoad
     | ModelAsk
     | AdapterAsk
     | AdapterUse
     | LoadReply
     | UsageNotice
+    | ReadAsk
+    | ReadReply
 )
 AnyMessage: TypeAlias = (
     Hello
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -15,6 +15,7 @@
     AnyMessage,
     EngineNotice,
     KeeperHello,
+    KeeperLoad,
     KeeperReport,
     LoadReply,
     ModelAsk,
@@ -55,7 +56,7 @@
 
 TAKEN_ANSWERS = frozenset((OrderAnswer.ACCEPTED, OrderAnswer.HOLDS))
 
-Send = Callable[[bytes, KeeperReport | LoadReply], object]
+Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,12 +108,13 @@
         self._orders_lock = RLock()
         self._told: KeeperReport | None = None
         self._told_at = timedelta()
+        self._revision = 0
 
     def receive(self, sender: bytes, message: AnyMessage) -> None:
         """Take in a gateway's message; asks are carried out in tasks."""
         match message:
             case KeeperHello():
-                self._greet(sender)
+                self._greet(sender, message)
             case EngineNotice():
                 self._take_notice(message)
             case AdapterUse():
@@ -159,23 +161,28 @@
         report = self._report()
         now = self._clock.elapsed()
         silence = now - self._told_at
-        if not self._is_due(report, silence):
-            return
+        told = self._told
+        if told is None or _holding(report) != _holding(told):
+            self._revision += 1
+            report = msgspec.structs.replace(report, revision=self._revision)
+            self._publish(report, report)
+        elif silence >= _load_period(report, told):
+            self._publish(report, _load(report))
+
+    def _publish(
+        self,
+        report: KeeperReport,
+        message: KeeperReport | KeeperLoad,
+    ) -> None:
+        """Send a message, which tells what is new in a report."""
+        now = self._clock.elapsed()
         self._told = report
         self._told_at = now
         for sender, heard_at in tuple(self.state.subscribers.items()):
             is_silent = now - heard_at > SUBSCRIBER_SILENCE
-            if is_silent or self._send(sender, report) is False:
+            if is_silent or self._send(sender, message) is False:
                 self.state.subscribers.pop(sender)
 
-    def _is_due(self, report: KeeperReport, silence: timedelta) -> bool:
-        told = self._told
-        if told is None or silence >= IDLE_REPORT_PERIOD:
-            return True
-        if _holding(report) != _holding(told):
-            return True
-        return report != told and silence >= REPORT_PERIOD
-
     def _report(self) -> KeeperReport:
         engine = self.state.engine or EngineState()
         notice = self.state.notice
@@ -200,6 +207,7 @@
             total_tokens=engine.total_tokens,
             is_ordering=engine.is_busy or self.state.ordering is not None,
             ordered_ms=self._ordered_ms(),
+            revision=self._revision,
             store_loads_ready=notice is not None
             and self._pace.is_ready(
                 notice.store_loads_per_second,
@@ -212,11 +220,12 @@
             return 0
         return to_milliseconds(self._clock.elapsed() - self.state.ordered_at)
 
-    def _greet(self, sender: bytes) -> None:
-        is_new = sender not in self.state.subscribers
+    def _greet(self, sender: bytes, hello: KeeperHello) -> None:
+        is_wanted = hello.wants_report or sender not in self.state.subscribers
         self.state.subscribers[sender] = self._clock.elapsed()
-        if is_new and self.state.engine is not None:
-            self._send(sender, self._report())
+        if is_wanted and self.state.engine is not None:
+            self.tell()
+            self._send(sender, self._told or self._report())
 
     def _take_notice(self, notice: EngineNotice) -> None:
         known = self.state.notice
@@ -512,10 +521,26 @@
     return held is (kind is OrderKind.LOAD)
 
 
+def _load_period(report: KeeperReport, told: KeeperReport) -> timedelta:
+    return IDLE_REPORT_PERIOD if _load(report) == _load(told) else REPORT_PERIOD
+
+
+def _load(report: KeeperReport) -> KeeperLoad:
+    return KeeperLoad(
+        target_id=report.target_id,
+        revision=report.revision,
+        queued=report.queued,
+        active=report.active,
+        used_tokens=report.used_tokens,
+    )
+
+
 def _holding(report: KeeperReport) -> KeeperReport:
     """Return a report without the counts, which change all the time."""
     return msgspec.structs.replace(
         report,
+        ordered_ms=0,
+        revision=0,
         queued=0,
         active=0,
         used_tokens=0,
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -8,13 +8,14 @@
 within one rate.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from verbenamux_relay.catalog import Workspace
 
-# A gateway not heard for this long may be spending unseen.
+# Notices come this often in a small fleet; a gateway not heard for longer
+# may be spending unseen.
 SILENCE_MOST = timedelta(milliseconds=700)
 # A gateway that started less than this ago takes over others' levels.
 START_TIME = timedelta(seconds=2)
@@ -34,16 +35,25 @@
 @dataclass(slots=True)
 class _Peer:
     heard_at: timedelta
-    spent_by_workspace: dict[str, float]
+    spent_by_workspace: Mapping[str, float]
     is_leaving: bool
 
 
 class Allowance:
     """Every workspace's bucket, as one gateway sees it."""
 
-    def __init__(self, elapsed: Elapsed) -> None:
-        """Start with full buckets; `elapsed` counts through suspensions."""
+    def __init__(
+        self,
+        elapsed: Elapsed,
+        silence_most: Elapsed = lambda: SILENCE_MOST,
+    ) -> None:
+        """Start with full buckets; `elapsed` counts through suspensions.
+
+        A peer that is silent for longer than `silence_most` may be spending
+        unseen.
+        """
         self._elapsed = elapsed
+        self._silence_most = silence_most
         self._started_at = elapsed()
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._peers_by_name: dict[str, _Peer] = {}
@@ -81,8 +91,8 @@
     def hear(
         self,
         sender: str,
-        spent_by_workspace: dict[str, float],
-        level_by_workspace: dict[str, float],
+        spent_by_workspace: Mapping[str, float],
+        level_by_workspace: Mapping[str, float],
         workspaces_by_name: dict[str, Workspace],
         is_leaving: bool = False,
     ) -> None:
@@ -93,7 +103,7 @@
         """
         now = self._elapsed()
         known = self._peers_by_name.get(sender)
-        before = known.spent_by_workspace if known else {}
+        before = known.spent_by_workspace if known else dict[str, float]()
         if known is None and now - self._started_at < START_TIME:
             before = spent_by_workspace
             self._take_over(level_by_workspace, workspaces_by_name)
@@ -109,7 +119,7 @@
 
     def _take_over(
         self,
-        level_by_workspace: dict[str, float],
+        level_by_workspace: Mapping[str, float],
         workspaces_by_name: dict[str, Workspace],
     ) -> None:
         for name, level in level_by_workspace.items():
@@ -121,8 +131,9 @@
     def silent_peers(self) -> int:
         """Return how many gateways may be spending unseen."""
         now = self._elapsed()
+        silence_most = self._silence_most()
         return sum(
-            SILENCE_MOST < now - peer.heard_at < RESERVED_FOR
+            silence_most < now - peer.heard_at < RESERVED_FOR
             and not peer.is_leaving
             for peer in self._peers_by_name.values()
         )
--- a/libs/relay/src/verbenamux_relay/demand.py
+++ b/libs/relay/src/verbenamux_relay/demand.py
@@ -1,13 +1,13 @@
 """How much each model is wanted, over all gateways."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from math import exp
 
-from verbenamux_contracts.messages import UsageNotice
 from verbenamux_relay.placing import Demand
+from verbenamux_relay.usage import Usage
 
 # How fast what was asked for is forgotten: a model asked for once weighs
 # less than half of it after this time.
@@ -19,8 +19,8 @@
 @dataclass(slots=True)
 class _Peer:
     heard_at: timedelta
-    waiting: dict[str, int]
-    asked: dict[str, int]
+    waiting: Mapping[str, int]
+    asked: Mapping[str, int]
 
 
 class DemandMeter:
@@ -53,16 +53,16 @@
             if waiting > 0
         }
 
-    def hear(self, notice: UsageNotice) -> None:
-        """Take in another gateway's counts."""
-        known = self._peers_by_instance.get(notice.instance)
-        before = known.asked if known else notice.asked
-        for model, asked in notice.asked.items():
+    def hear(self, instance: str, usage: Usage) -> None:
+        """Take in the counts of another gateway's run."""
+        known = self._peers_by_instance.get(instance)
+        before = known.asked if known else usage.asked
+        for model, asked in usage.asked.items():
             self._add_recent(model, asked - before.get(model, 0))
-        self._peers_by_instance[notice.instance] = _Peer(
+        self._peers_by_instance[instance] = _Peer(
             self._elapsed(),
-            notice.waiting,
-            notice.asked,
+            usage.waiting,
+            usage.asked,
         )
 
     def current(self) -> Demand:
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,8 +1,8 @@
 """A relaying gateway: what it believes, whom it tells, and its tasks."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import partial
 from itertools import count
@@ -13,9 +13,11 @@
     AnyMessage,
     EngineNotice,
     KeeperHello,
+    KeeperLoad,
     KeeperReport,
     Message,
     ModelSize,
+    ReadAsk,
     UsageNotice,
 )
 from verbenamux_http.client import parse_address
@@ -23,26 +25,22 @@
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.loading import Loader
+from verbenamux_relay.peering import Member, Own, Peers
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
 from verbenamux_relay.targets import Target, TargetEntry, TargetReport
+from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
 from verbenamux_runtime.peers import PeerLink, PeerServer
 
-# Gateways tell each other what they spent this often, in a small fleet.
-USAGE_PERIOD = timedelta(milliseconds=250)
-# From this many peers on, notices are sent less often in proportion.
-USAGE_PEERS = 8
 # The planner looks for better places this often.
 PLAN_PERIOD = timedelta(milliseconds=400)
 # Keepers are greeted this often while they are silent, and every so many
 # times while they report.
 ENGINE_PERIOD = timedelta(milliseconds=250)
 GREETING_ROUNDS = 8
-# A peer not heard for this long is not counted as planning.
-PLANNER_SILENCE = timedelta(seconds=1)
 # So many removed targets are remembered by name.
 REMOVED_MOST = 1000
 # Removed targets are kept this long for answers still under way.
@@ -83,7 +81,15 @@
         self.setup = setup
         self.beliefs = beliefs
         self.metrics = metrics
-        self.allowance = Allowance(clock.elapsed)
+        self.peers = Peers(
+            Own(
+                setup.name,
+                setup.instance,
+                Member(setup.peer_address, beliefs.data_centre),
+            ),
+            clock.elapsed,
+        )
+        self.allowance = Allowance(clock.elapsed, self.peers.silence_most)
         self.demand = DemandMeter(clock.elapsed)
         self.loader = Loader(
             book=beliefs.book,
@@ -93,14 +99,14 @@
             demand=self.demand.current,
         )
         self.server = PeerServer(setup.peer_address, self._hear)
+        self.on_read_ask: Callable[[bytes, ReadAsk], None] | None = None
         self._clock = clock
         self._log = log
         self._catalog: Catalog | None = None
         self._confirmed_at: timedelta | None = None
         self._keepers_by_host: dict[str, PeerLink] = {}
-        self._peers_by_address: dict[str, PeerLink] = {}
-        self._heard_by_peer: dict[str, timedelta] = {}
         self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._notice_by_target: dict[str, EngineNotice] = {}
         self._moving: set[str] = set()
         self._removed_ids: OrderedDict[str, None] = OrderedDict()
         self._rounds = count()
@@ -172,16 +178,6 @@
         self.beliefs.book.mark_removed(target_id, self._clock.elapsed())
         self._log('target_removed', target=target_id)
 
-    def set_members(self, addresses: Iterable[str]) -> None:
-        """Keep a link to every other gateway."""
-        wanted = set(addresses) - {self.setup.peer_address}
-        for address in wanted - self._peers_by_address.keys():
-            self._peers_by_address[address] = PeerLink(
-                address,
-                f'{self.setup.instance}>{address}',
-                self._ignore,
-            )
-
     def budget_of(self, service: str) -> RepeatBudget:
         """Return this gateway's budget of repeats for a service."""
         budget = self._budget_by_service.get(service)
@@ -193,30 +189,18 @@
                 0,
             )
             self._budget_by_service[service] = budget
-        budget.extra = self.setup.repeat_extra / (self.peer_count() + 1)
+        budget.extra = self.setup.repeat_extra / (self.peers.count() + 1)
         return budget
 
     def tell_usage(self) -> None:
         """Tell the other gateways what was spent and what waits."""
-        notice = UsageNotice(
-            sender=self.setup.name,
-            instance=self.setup.instance,
+        usage = Usage(
             spent=dict(self.allowance.spent_by_workspace),
             left=self.allowance.levels(),
             waiting=self.demand.own_waiting(),
             asked=dict(self.demand.asked_by_model),
-            leaving=self.is_stopping,
         )
-        for link in self._peers_by_address.values():
-            link.send(notice)
-
-    def peer_count(self) -> int:
-        """Return how many other gateways are known."""
-        return len(self._peers_by_address)
-
-    def usage_period(self) -> timedelta:
-        """Return how often to tell usage, by the number of peers."""
-        return USAGE_PERIOD * max(1, self.peer_count() / USAGE_PEERS)
+        self.peers.tell(usage, is_leaving=self.is_stopping)
 
     def tell_keepers(self) -> None:
         """Greet keepers, and tell them what their engines may hold.
@@ -229,15 +213,24 @@
         for target in tuple(self.beliefs.book.by_id.values()):
             is_silent = not target.report or target.has_silent_keeper(now)
             if is_due or is_silent:
-                self._tell_keeper(target, KeeperHello(self.setup.instance))
+                hello = KeeperHello(self.setup.instance, is_silent)
+                self._tell_keeper(target, hello)
             engine = self._engine_of(target.entry.service)
-            if engine and (is_due or not self._is_informed(target)):
-                self._tell_keeper(target, self._engine_notice(target, engine))
+            if engine is not None:
+                self._inform(target, self._engine_notice(target, engine))
+
+    def _inform(self, target: Target, notice: EngineNotice) -> None:
+        """Tell a keeper what its engine may hold, if that is news to it."""
+        target_id = target.entry.target_id
+        is_known = self._notice_by_target.get(target_id) == notice
+        if is_known and self._is_informed(target):
+            return
+        if self._tell_keeper(target, notice):
+            self._notice_by_target[target_id] = notice
 
-    def _tell_keeper(self, target: Target, message: Message) -> None:
+    def _tell_keeper(self, target: Target, message: Message) -> bool:
         link = self._keeper_link(target.entry.target_id)
-        if link is not None:
-            link.send(message)
+        return link is not None and link.send(message)
 
     def _is_informed(self, target: Target) -> bool:
         report = target.report
@@ -249,7 +242,9 @@
 
         Only the first living gateway by name plans; `run` starts a task.
         """
-        if not self._is_planner() or self._catalog is None:
+        if self.is_stopping or not self.peers.is_first():
+            return
+        if self._catalog is None:
             return
         for service in self._catalog.services_by_name.values():
             for move in self._planned(service):
@@ -301,6 +296,7 @@
             if not target.in_flight:
                 self.beliefs.book.forget(target_id)
                 self.beliefs.prompts.forget(target_id)
+                self._notice_by_target.pop(target_id, None)
         hosts = {
             target.entry.address[0]
             for target in self.beliefs.book.by_id.values()
@@ -314,17 +310,6 @@
         finally:
             self._moving.discard(move.target_id)
 
-    def _is_planner(self) -> bool:
-        now = self._clock.elapsed()
-        living = [
-            name
-            for name, heard_at in self._heard_by_peer.items()
-            if now - heard_at < PLANNER_SILENCE
-        ]
-        return not self.is_stopping and all(
-            self.setup.name < name for name in living
-        )
-
     def _engine_of(self, service: str) -> EngineTerms | None:
         if self._catalog is None:
             return None
@@ -361,8 +346,6 @@
             self._hear_keeper,
         )
         self._keepers_by_host[host] = link
-        link.send(KeeperHello(self.setup.instance))
-        link.send(self._engine_notice(target, engine))
 
     def _keeper_link(self, target_id: str) -> PeerLink | None:
         target = self.beliefs.book.by_id.get(target_id)
@@ -371,6 +354,8 @@
         return self._keepers_by_host.get(target.entry.address[0])
 
     def _hear_keeper(self, message: AnyMessage) -> None:
+        if isinstance(message, KeeperLoad):
+            self._hear_load(message)
         if not isinstance(message, KeeperReport):
             return
         target = self.beliefs.book.by_id.get(message.target_id)
@@ -386,6 +371,25 @@
             self.beliefs.prompts.forget_model(message.target_id, model)
         self.loader.note_change()
 
+    def _hear_load(self, message: KeeperLoad) -> None:
+        target = self.beliefs.book.by_id.get(message.target_id)
+        if target is None or target.report is None:
+            return
+        if target.report.revision != message.revision:
+            # Its last report was lost on the way.
+            hello = KeeperHello(self.setup.instance, wants_report=True)
+            self._tell_keeper(target, hello)
+            return
+        now = self._clock.elapsed()
+        target.heard_at = now
+        target.report = replace(
+            target.report,
+            received_at=now,
+            queued=message.queued,
+            active=message.active,
+            used_tokens=message.used_tokens,
+        )
+
     def _introduce(self, message: KeeperReport) -> Target | None:
         """Take in a target by its keeper's word, ahead of the registry.
 
@@ -411,25 +415,25 @@
         )
         return self.beliefs.book.by_id[message.target_id]
 
-    def _hear(self, _sender: bytes, message: AnyMessage) -> None:
-        if not isinstance(message, UsageNotice):
+    def _hear(self, sender: bytes, message: AnyMessage) -> None:
+        if isinstance(message, UsageNotice):
+            self._hear_usage(message)
+        elif isinstance(message, ReadAsk) and self.on_read_ask is not None:
+            self.on_read_ask(sender, message)
+
+    def _hear_usage(self, notice: UsageNotice) -> None:
+        usage = self.peers.read(notice)
+        if usage is None:
             return
         workspaces = self._catalog.workspaces() if self._catalog else {}
         self.allowance.hear(
-            message.instance,
-            message.spent,
-            message.left,
+            notice.instance,
+            usage.spent,
+            usage.left,
             workspaces,
-            message.leaving,
+            notice.leaving,
         )
-        self.demand.hear(message)
-        if message.leaving:
-            self._heard_by_peer.pop(message.sender, None)
-        else:
-            self._heard_by_peer[message.sender] = self._clock.elapsed()
-
-    def _ignore(self, message: AnyMessage) -> None:
-        """Usage notices are not answered."""
+        self.demand.hear(notice.instance, usage)
 
 
 def _decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
@@ -446,7 +450,8 @@
         used_tokens=message.used_tokens,
         total_tokens=message.total_tokens,
         is_ordering=message.is_ordering,
-        ordered_for=timedelta(milliseconds=message.ordered_ms),
+        ordered_at=now - timedelta(milliseconds=message.ordered_ms),
+        revision=message.revision,
         store_loads_ready=message.store_loads_ready,
         notice_version=message.notice_version,
     )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -0,0 +1,144 @@
+"""The other gateways: links to them, what they tell, and who goes first."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.messages import AnyMessage, UsageNotice
+from verbenamux_relay.usage import Usage, UsageReader, UsageTeller
+from verbenamux_runtime.peers import PeerLink
+
+# Gateways tell each other what they spent this often, in a small fleet.
+USAGE_PERIOD = timedelta(milliseconds=250)
+# From this many peers on, notices are sent less often in proportion.
+USAGE_PEERS = 8
+# A peer that missed so many notices is silent: it may be spending unseen,
+# and neither plans nor reads for others.
+NOTICES_MISSED = 2.8
+# Instances of gateways whose usage is remembered, those that ended included.
+READERS_MOST = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A gateway as its record in the store has it."""
+
+    address: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Own:
+    """A gateway as its peers know it; `instance` names one run of it."""
+
+    name: str
+    instance: InstanceId
+    member: Member
+
+
+@dataclass(slots=True)
+class _Peer:
+    member: Member
+    link: PeerLink
+    teller: UsageTeller
+    heard_at: timedelta | None = None
+    wants_whole: bool = False
+
+
+class Peers:
+    """Every other gateway that the store lists, by name."""
+
+    def __init__(self, own: Own, elapsed: Callable[[], timedelta]) -> None:
+        """Start with no other gateway known."""
+        self._own = own
+        self._elapsed = elapsed
+        self._by_name: dict[str, _Peer] = {}
+        self._readers: OrderedDict[str, UsageReader] = OrderedDict()
+
+    def set_members(self, members_by_name: Mapping[str, Member]) -> None:
+        """Keep one link to every other gateway."""
+        for name, peer in tuple(self._by_name.items()):
+            if members_by_name.get(name) != peer.member:
+                self._by_name.pop(name).link.close()
+        for name, member in members_by_name.items():
+            if name != self._own.name and name not in self._by_name:
+                self._by_name[name] = self._connect(member)
+
+    def count(self) -> int:
+        """Return how many other gateways are known."""
+        return len(self._by_name)
+
+    def usage_period(self) -> timedelta:
+        """Return how often to tell usage, by the number of peers."""
+        return USAGE_PERIOD * max(1, self.count() / USAGE_PEERS)
+
+    def silence_most(self) -> timedelta:
+        """Return how long a living peer may be silent."""
+        return self.usage_period() * NOTICES_MISSED
+
+    def tell(self, usage: Usage, *, is_leaving: bool = False) -> None:
+        """Tell each peer what of this gateway's usage is news to it."""
+        for peer in self._by_name.values():
+            notice = peer.teller.notice(
+                usage,
+                wants_whole=peer.wants_whole,
+                is_leaving=is_leaving,
+            )
+            if not peer.link.send(notice):
+                peer.teller.forget()
+
+    def read(self, notice: UsageNotice) -> Usage | None:
+        """Return a peer's whole usage; None if it must be asked for first."""
+        reader = self._readers.setdefault(notice.instance, UsageReader())
+        if len(self._readers) > READERS_MOST:
+            self._readers.popitem(last=False)
+        usage = reader.read(notice)
+        peer = self._by_name.get(notice.sender)
+        if peer is not None:
+            peer.heard_at = None if notice.leaving else self._elapsed()
+            peer.wants_whole = usage is None
+            if notice.wants_whole:
+                peer.teller.forget()
+        return usage
+
+    def is_first(self) -> bool:
+        """Tell whether this gateway's name is the first of the living."""
+        return all(self._own.name < name for name, _ in self._living())
+
+    def lead(self) -> PeerLink | None:
+        """Return the link to the first living peer of the data centre.
+
+        None when this gateway is the first one itself.
+        """
+        names = [
+            name
+            for name, peer in self._living()
+            if peer.member.data_centre == self._own.member.data_centre
+        ]
+        first = min(names, default=self._own.name)
+        return self._by_name[first].link if first < self._own.name else None
+
+    def _connect(self, member: Member) -> _Peer:
+        return _Peer(
+            member,
+            PeerLink(
+                member.address,
+                f'{self._own.instance}>{member.address}',
+                _ignore,
+            ),
+            UsageTeller(self._own.name, self._own.instance),
+        )
+
+    def _living(self) -> Iterator[tuple[str, _Peer]]:
+        now = self._elapsed()
+        silence_most = self.silence_most()
+        for name, peer in self._by_name.items():
+            heard_at = peer.heard_at
+            if heard_at is not None and now - heard_at < silence_most:
+                yield name, peer
+
+
+def _ignore(_message: AnyMessage) -> None:
+    """Answers to asks are taken by who asked; nothing else comes."""
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -230,7 +230,7 @@
     model = engine.models_by_name.get(holding.loading or UNLOADING)
     if model is None:
         return ORDER_LEAST
-    age = report.ordered_for + now - report.received_at
+    age = now - report.ordered_at
     return max(load_time(model, holding) - age, ORDER_LEAST)
 
 
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -0,0 +1,225 @@
+"""Reading the store once for all gateways of a data centre.
+
+Load pattern: many gateways follow the same topics, and each call to the
+store costs. The first living gateway of a data centre reads; the others ask
+it, and get what its next read finds. If that read began after the ask came,
+the asker may take its own time of asking as the time at which it was up to
+date, however long either gateway was held up. Without an answer a gateway
+reads the store itself.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.ids import new_request_id
+from verbenamux_contracts.log import LogFailure, RecordBatch
+from verbenamux_contracts.messages import ReadAsk, ReadReply
+from verbenamux_runtime.peers import PeerLink
+
+# How long the first gateway may take beyond the time that a read waits and
+# the pause between two reads; a slow store takes a quarter of a second.
+ANSWER_MOST = timedelta(milliseconds=400)
+# A gateway that gave no answer is not asked again for this long.
+LEAD_REST = timedelta(seconds=4)
+# Records kept of each topic for those that lag, and their bytes altogether.
+KEPT_RECORDS = 400
+KEPT_BYTES = 500_000
+# Asks that wait in one gateway; more are left without an answer.
+ASKS_MOST = 1000
+
+ReadTopic = Callable[[str, int, timedelta], Result[RecordBatch, LogFailure]]
+ReadShared = Callable[[str, int, 'Patience'], Result['Reading', LogFailure]]
+Answer = Callable[[bytes, ReadReply], object]
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What a read found, and when it is known to have been the newest.
+
+    `known_at` is None when nothing is known of that.
+    """
+
+    batch: RecordBatch
+    known_at: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How the store is read: how long a read waits, and pauses before it.
+
+    In the pause news is gathered, and other gateways ask for the read.
+    """
+
+    wait: timedelta
+    pause: timedelta = timedelta()
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    came_at: timedelta
+    sender: bytes
+    ask: ReadAsk
+
+
+@dataclass(slots=True)
+class _Topic:
+    """The newest records of a topic, and who waits for news of it."""
+
+    first_offset: int = 0
+    records: deque[bytes] = field(default_factory=deque)
+    size: int = 0
+    asks: list[_Waiting] = field(default_factory=list)
+
+    @property
+    def next_offset(self) -> int:
+        return self.first_offset + len(self.records)
+
+    def keep(self, batch: RecordBatch) -> None:
+        """Add a batch; one that does not follow on replaces what is kept."""
+        if batch.first_offset != self.next_offset:
+            self.first_offset = batch.first_offset
+            self.records.clear()
+            self.size = 0
+        for record in batch.bodies:
+            self.records.append(record)
+            self.size += len(record)
+        while self.records and (
+            len(self.records) > KEPT_RECORDS or self.size > KEPT_BYTES
+        ):
+            self.size -= len(self.records.popleft())
+            self.first_offset += 1
+
+    def answer(self, ask: ReadAsk, *, is_fresh: bool) -> ReadReply:
+        """Return what follows an offset, or that it is not kept here."""
+        start = ask.from_offset - self.first_offset
+        if not 0 <= start <= len(self.records):
+            return ReadReply(ask.ask_id, found=False)
+        return ReadReply(
+            ask.ask_id,
+            found=True,
+            fresh=is_fresh,
+            records=tuple(self.records)[start:],
+        )
+
+
+class SharedReads:
+    """Reads of the store, of this gateway's own or through another."""
+
+    def __init__(
+        self,
+        read_store: ReadTopic,
+        lead: Callable[[], PeerLink | None],
+        answer: Answer,
+        clock: Clock,
+        log: Callable[..., None],
+    ) -> None:
+        """Read nothing yet; `lead` names the gateway that reads for this."""
+        self._read_store = read_store
+        self._lead = lead
+        self._answer = answer
+        self._clock = clock
+        self._log = log
+        self._topics: defaultdict[str, _Topic] = defaultdict(_Topic)
+        self._lead_rests_until = timedelta()
+
+    def read(
+        self,
+        topic: str,
+        from_offset: int,
+        patience: Patience,
+    ) -> Result[Reading, LogFailure]:
+        """Read records from an offset on, waiting a while for the first."""
+        began_at = self._clock.elapsed()
+        link = self._lead()
+        wait = patience.wait
+        if link is not None and began_at >= self._lead_rests_until:
+            reading = self._ask(link, topic, from_offset, patience)
+            if reading is not None:
+                self._share(topic, reading.known_at, Success(reading.batch))
+                return Success(reading)
+            wait = timedelta()
+        else:
+            self._clock.sleep(patience.pause)
+        read_at = self._clock.elapsed()
+        found = self._read_store(topic, from_offset, wait)
+        self._share(topic, read_at, found)
+        return found.map(lambda batch: Reading(batch, read_at))
+
+    def hear(self, sender: bytes, ask: ReadAsk) -> None:
+        """Take in another gateway's ask, to be answered by the next read."""
+        asks = self._topics[ask.topic].asks
+        if len(asks) < ASKS_MOST:
+            asks.append(_Waiting(self._clock.elapsed(), sender, ask))
+
+    def _ask(
+        self,
+        link: PeerLink,
+        topic: str,
+        from_offset: int,
+        patience: Patience,
+    ) -> Reading | None:
+        ask_id = new_request_id()
+        asked_at = self._clock.elapsed()
+        reply = link.ask(
+            ask_id,
+            ReadAsk(ask_id, topic, from_offset),
+            patience.wait + patience.pause + ANSWER_MOST,
+        )
+        if not isinstance(reply, ReadReply):
+            self._lead_rests_until = self._clock.elapsed() + LEAD_REST
+            self._log(
+                'shared_read_unanswered',
+                topic=topic,
+                lead=link.address,
+                outcome='the store is read directly',
+            )
+            return None
+        if not reply.found:
+            return None
+        next_offset = from_offset + len(reply.records)
+        return Reading(
+            RecordBatch(from_offset, next_offset, reply.records, next_offset),
+            asked_at if reply.fresh else None,
+        )
+
+    def _share(
+        self,
+        name: str,
+        known_at: timedelta | None,
+        found: Result[RecordBatch, LogFailure],
+    ) -> None:
+        """Answer all who wait; fresh for those who asked before the read."""
+        topic = self._topics[name]
+        asks = topic.asks
+        topic.asks = []
+        if isinstance(found, Success):
+            topic.keep(found.unwrap())
+        for waiting in asks:
+            is_fresh = known_at is not None and waiting.came_at <= known_at
+            reply = (
+                ReadReply(waiting.ask.ask_id, found=False)
+                if isinstance(found, Failure)
+                else topic.answer(waiting.ask, is_fresh=is_fresh)
+            )
+            self._answer(waiting.sender, reply)
+
+
+def read_directly(read_store: ReadTopic, clock: Clock) -> ReadShared:
+    """Return reads of the store that are shared with nobody."""
+
+    def read(
+        topic: str,
+        from_offset: int,
+        patience: Patience,
+    ) -> Result[Reading, LogFailure]:
+        clock.sleep(patience.pause)
+        began_at = clock.elapsed()
+        found = read_store(topic, from_offset, patience.wait)
+        return found.map(lambda batch: Reading(batch, began_at))
+
+    return read
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -44,7 +44,7 @@
 class TargetReport:
     """A target as the keeper beside it sees it; times are monotonic.
 
-    `ordered_for` is the age of the model order under way at that time.
+    `ordered_at` is when the model order under way was asked for.
     """
 
     target_id: str
@@ -59,7 +59,8 @@
     used_tokens: int = 0
     total_tokens: int = 0
     is_ordering: bool = False
-    ordered_for: timedelta = timedelta()
+    ordered_at: timedelta = timedelta()
+    revision: int = 0
     store_loads_ready: bool = True
     notice_version: int = 0
 
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/usage.py
@@ -0,0 +1,112 @@
+"""Telling other gateways of usage in small pieces, and putting them together.
+
+Load pattern: many gateways tell each other several times a second, while
+each of them changes few of its sums. A notice holds what changed since the
+one before on the same link. Notices are numbered, so that a receiver that
+missed one notices that and asks for everything again.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from verbenamux_contracts.messages import UsageNotice
+
+Amount = TypeVar('Amount', int, float)
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a gateway spent by workspace, and its requests by model.
+
+    `left` is what it believes that each workspace may still spend.
+    """
+
+    spent: Mapping[str, float] = field(default_factory=dict)
+    left: Mapping[str, float] = field(default_factory=dict)
+    waiting: Mapping[str, int] = field(default_factory=dict)
+    asked: Mapping[str, int] = field(default_factory=dict)
+
+
+class UsageTeller:
+    """One link's side that tells: what the peer was told last."""
+
+    def __init__(self, sender: str, instance: str) -> None:
+        """Start with everything untold."""
+        self._sender = sender
+        self._instance = instance
+        self._told: Usage | None = None
+        self._number = 0
+
+    def forget(self) -> None:
+        """Tell everything next time: the peer may have missed something."""
+        self._told = None
+
+    def notice(
+        self,
+        usage: Usage,
+        *,
+        wants_whole: bool = False,
+        is_leaving: bool = False,
+    ) -> UsageNotice:
+        """Return what the peer does not know yet, and take it as told.
+
+        `wants_whole` asks the peer in turn to tell everything.
+        """
+        told = self._told
+        before = told or Usage()
+        self._told = usage
+        self._number += 1
+        return UsageNotice(
+            sender=self._sender,
+            instance=self._instance,
+            number=self._number,
+            whole=told is None,
+            wants_whole=wants_whole,
+            spent=_changed(before.spent, usage.spent),
+            left=dict(usage.left) if told is None else {},
+            waiting=_changed(before.waiting, usage.waiting),
+            asked=_changed(before.asked, usage.asked),
+            leaving=is_leaving,
+        )
+
+
+class UsageReader:
+    """One peer's notices put together again."""
+
+    def __init__(self) -> None:
+        """Start with nothing known of the peer."""
+        self._known: Usage | None = None
+        self._number = 0
+
+    def read(self, notice: UsageNotice) -> Usage | None:
+        """Return the peer's whole usage; None if something is missing."""
+        known = Usage() if notice.whole else self._known
+        if known is None or not (
+            notice.whole or notice.number == self._number + 1
+        ):
+            self._known = None
+            return None
+        self._number = notice.number
+        self._known = Usage(
+            spent={**known.spent, **notice.spent},
+            left=notice.left,
+            waiting={**known.waiting, **notice.waiting},
+            asked={**known.asked, **notice.asked},
+        )
+        return self._known
+
+
+def _changed(
+    before: Mapping[str, Amount],
+    now: Mapping[str, Amount],
+) -> dict[str, Amount]:
+    """Return what differs; what is gone counts as zero."""
+    changed = {
+        name: amount
+        for name, amount in now.items()
+        if before.get(name) != amount
+    }
+    zero = type(next(iter(before.values()), 0))()
+    gone = before.keys() - now.keys()
+    return changed | {name: zero for name in gone if before[name]}
--- a/libs/standin/src/verbenamux_standin/relay.py
+++ b/libs/standin/src/verbenamux_standin/relay.py
@@ -1,5 +1,6 @@
 """A TCP relay between processes, whose connections can be cut."""
 
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -12,6 +13,10 @@
 
 READ_BYTES = 65536
 MILLISECONDS = 1000
+# A silent line looks this often whether it may pass on again.
+HELD_SECONDS = 0.025
+# Lingering for no time makes a close a reset.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class Line(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -23,10 +28,19 @@
 
 
 class Cuts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The lines that are cut now, and the delay of all others."""
+    """What is wrong with the lines now.
+
+    `lines` are cut: their connections break and no new one opens. On lines
+    in `silent_to` nothing passes towards the callee, on those in
+    `silent_from` nothing comes back, until that ends; connections stay open.
+    `delay_ms` holds for all lines, `delay_ms_by_line` for one.
+    """
 
     lines: tuple[str, ...] = ()
+    silent_to: tuple[str, ...] = ()
+    silent_from: tuple[str, ...] = ()
     delay_ms: int = 0
+    delay_ms_by_line: dict[str, int] = {}
 
 
 @dataclass(slots=True)
@@ -46,14 +60,28 @@
     def route(self, request: Request) -> Reply:
         """Take new cuts over HTTP; connections of cut lines break."""
         try:
-            self.cuts = msgspec.json.decode(request.body, type=Cuts)
+            self.apply(msgspec.json.decode(request.body, type=Cuts))
         except msgspec.MsgspecError as error:
             return json_reply({'message': str(error)}, BAD_REQUEST)
-        for name in self.cuts.lines:
-            for each in list(self.open_by_line.get(name, ())):
-                _close(each)
         return json_reply(self.cuts)
 
+    def apply(self, cuts: Cuts) -> None:
+        """Set what is wrong from now on, and break what is cut."""
+        self.cuts = cuts
+        for name in cuts.lines:
+            self.reset(name)
+
+    def reset(self, name: str) -> None:
+        """Reset the connections that a line has now."""
+        for each in list(self.open_by_line.get(name, ())):
+            with suppress(OSError):
+                each.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    RESET_ON_CLOSE,
+                )
+            each.close()
+
     def _accept_on(
         self,
         line: Line,
@@ -75,20 +103,40 @@
         callee.settimeout(None)
         pair = {caller, callee}
         self.open_by_line[line.name] |= pair
-        joinall(
-            [
-                spawn(self._copy, caller, callee),
-                spawn(self._copy, callee, caller),
-            ]
+        towards = spawn(
+            self._copy,
+            caller,
+            callee,
+            lambda: self._hold(line.name, self.cuts.silent_to),
+        )
+        back = spawn(
+            self._copy,
+            callee,
+            caller,
+            lambda: self._hold(line.name, self.cuts.silent_from),
         )
+        joinall([towards, back])
         self.open_by_line[line.name] -= pair
 
-    def _copy(self, source: socket.socket, sink: socket.socket) -> None:
+    def _hold(self, name: str, silent: tuple[str, ...]) -> float:
+        """Return for how many seconds a line holds what passes it."""
+        if name in silent:
+            return HELD_SECONDS
+        delay_ms = self.cuts.delay_ms_by_line.get(name, self.cuts.delay_ms)
+        return delay_ms / MILLISECONDS
+
+    def _copy(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        hold: Callable[[], float],
+    ) -> None:
         # Either side may be cut at any time; both close below.
         with suppress(OSError):
             while piece := source.recv(READ_BYTES):
-                if self.cuts.delay_ms:
-                    sleep(self.cuts.delay_ms / MILLISECONDS)
+                sleep(hold())
+                while hold() == HELD_SECONDS:
+                    sleep(HELD_SECONDS)
                 sink.sendall(piece)
         _close(source)
         _close(sink)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,8 +8,9 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_contracts.log import LogFault
-from verbenamux_platform.following import Listening, follow
+from verbenamux_platform.following import Listening, Source, follow
 from verbenamux_platform.store import keyed_record, open_store, split_keyed
+from verbenamux_relay.sharing import Patience, read_directly
 from verbenamux_runtime.webserver import serve
 from verbenamux_standin.log import log_route
 from verbenamux_standin.web import Faults, make_application
@@ -83,26 +84,26 @@
     seen = {}
     currents = []
     troubles = []
+    listed = []
 
     def on_record(record):
         seen[record.key] = record.content
 
-    def on_snapshot(records):
-        for record in records:
-            on_record(record)
-
     store.append('keyed.t', keyed_record('a', b'1'))
     listening = Listening(
         'keyed.t',
-        on_snapshot,
+        listed.append,
         on_record,
         currents.append,
         troubles.append,
-        WAIT,
+        Patience(WAIT),
     )
-    task = gevent.spawn(follow, store, listening, SystemClock(), Random(1))
+    clock = SystemClock()
+    source = Source(store.newest, read_directly(store.read, clock))
+    task = gevent.spawn(follow, source, listening, SystemClock(), Random(1))
     gevent.sleep(0.1)
     assert seen == {'a': b'1'}
+    assert listed == [{'a'}]
     faults.down = True
     gevent.sleep(0.5)
     assert troubles
--- /dev/null
+++ b/tests/relay/test_peering.py
@@ -0,0 +1,78 @@
+"""Who is first among gateways, and who is silent."""
+
+from datetime import timedelta
+
+import pytest
+
+from verbenamux_contracts.clock import ManualClock
+from verbenamux_contracts.messages import UsageNotice
+from verbenamux_relay.peering import Member, Own, Peers
+
+OWN = Member('127.0.0.1:1', 'here')
+
+
+def notice(name, number=1, **more):
+    return UsageNotice(
+        sender=name, instance=name, number=number, whole=True, **more
+    )
+
+
+def member(number, data_centre='here'):
+    return Member(f'127.0.0.1:{number}', data_centre)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def peers(clock):
+    made = Peers(Own('g2', 'g2-run', OWN), clock.elapsed)
+    made.set_members(
+        {
+            'g0': member(10, 'there'),
+            'g1': member(11),
+            'g2': OWN,
+            'g3': member(13),
+        },
+    )
+    yield made
+    made.set_members({})
+
+
+def test_the_first_living_peer_of_the_data_centre_leads(peers, clock):
+    assert peers.lead() is None
+    for name in ('g0', 'g1', 'g3'):
+        peers.read(notice(name))
+    assert peers.lead().address == '127.0.0.1:11'
+    assert not peers.is_first()
+    clock.advance(peers.silence_most())
+    assert peers.lead() is None
+    assert peers.is_first()
+
+
+def test_a_leaving_peer_leads_nobody(peers):
+    peers.read(notice('g1'))
+    peers.read(notice('g1', 2, leaving=True))
+    assert peers.lead() is None
+
+
+def test_a_member_at_a_new_address_gets_a_new_link(peers):
+    peers.read(notice('g1'))
+    peers.set_members({'g1': member(99)})
+    assert peers.count() == 1
+    assert peers.lead() is None
+    peers.read(notice('g1'))
+    assert peers.lead().address == '127.0.0.1:99'
+
+
+@pytest.mark.parametrize('count', [1, 5, 27, 389])
+def test_peers_that_tell_in_time_are_never_silent(clock, count):
+    """A large fleet tells less often; that is no silence."""
+    peers = Peers(Own('a', 'a-run', OWN), clock.elapsed)
+    members = {f'g{number}': member(number) for number in range(count)}
+    peers.set_members(members)
+    assert peers.silence_most() > 2 * peers.usage_period()
+    assert peers.silence_most() >= timedelta(milliseconds=700)
+    peers.set_members({})
--- a/tests/relay/test_usage.py
+++ b/tests/relay/test_usage.py
@@ -27,7 +27,7 @@
 
 
 def teller(instance='one'):
-    return UsageTeller('gateway', instance, '127.0.0.1:1')
+    return UsageTeller('gateway', instance)
 
 
 @given(st.lists(st.tuples(USAGES, st.booleans())))
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,247 @@
+"""Stand-ins of targets that write down all that reaches them."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+ENGINE_MB = 200.0
+MODEL_MB = 70.0
+ADAPTER_PLACES = 2
+LOAD_SECONDS = 0.4
+EVENTS = 6
+EVENT_SECONDS = 0.04
+POOL_MOST = 500
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a request at a target; times are monotonic seconds."""
+
+    request_id: str
+    target: str
+    service: str
+    workspace: str
+    arrived_at: float
+    ended_at: float | None = None
+    is_whole: bool = False
+
+
+@dataclass(slots=True)
+class Book:
+    """What all targets saw."""
+
+    runs: list[Run] = field(default_factory=list)
+    arrivals: list[tuple[float, str, str]] = field(default_factory=list)
+    orders: list[tuple[float, str, dict]] = field(default_factory=list)
+    crashes: list[str] = field(default_factory=list)
+
+
+def whole_answer(request_id):
+    """Return the bytes that a plain target answers a request with."""
+    return f'answer to {request_id}'.encode()
+
+
+def event_bytes(request_id, number):
+    """Return one event of the stream that answers a request."""
+    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+
+
+def proof_of(request_id):
+    """Return what stands for a target's signature of a request."""
+    return hashlib.sha256(request_id.encode()).hexdigest()[:16]
+
+
+class Target:
+    """A server at one address; each start is another instance of it."""
+
+    def __init__(self, book, clock, address, service):
+        self.book = book
+        self.clock = clock
+        self.address = address
+        self.service = service
+        self.starts = 0
+        self.instance = ''
+        self.server = None
+        self.slow = 0.0
+        self.fail_share = 0.0
+        self.random = None
+
+    def now(self):
+        return self.clock.elapsed().total_seconds()
+
+    def start(self):
+        self.starts += 1
+        self.instance = f'{self.service}-{self.address}-{self.starts}'
+        host, _, port = self.address.rpartition(':')
+        self.server = WSGIServer(
+            (host, int(port)),
+            self.answer,
+            spawn=Pool(POOL_MOST),
+            log=None,
+            error_log=None,
+        )
+        self.server.start()
+
+    def crash(self):
+        """End at once; what runs breaks off."""
+        self.server.stop(timeout=0)
+        self.server = None
+
+    def answer(self, environ, start):
+        path = environ['PATH_INFO']
+        if path == '/health':
+            start('200 OK', [('Instance-Id', self.instance)])
+            return [b'']
+        request_id = environ.get('HTTP_ATTEMPT_ID', '')
+        expected = environ.get('HTTP_EXPECTED_INSTANCE')
+        self.book.arrivals.append((self.now(), request_id, self.instance))
+        environ['wsgi.input'].read()
+        if expected != self.instance:
+            return self.refuse(start, '421 Misdirected', request_id)
+        return self.run(environ, start, request_id)
+
+    def refuse(self, start, status, request_id):
+        start(
+            status,
+            [
+                ('Not-Executed', '1'),
+                ('Instance-Id', self.instance),
+                ('Attempt-Id', request_id),
+            ],
+        )
+        return [b'']
+
+    def note_run(self, environ, request_id):
+        run = Run(
+            request_id,
+            self.instance,
+            self.service,
+            environ.get('HTTP_TENANT', ''),
+            self.now(),
+        )
+        self.book.runs.append(run)
+        return run
+
+    def head(self, request_id):
+        return [
+            ('Attempt-Id', request_id),
+            ('Server-Signature', proof_of(request_id)),
+        ]
+
+
+class Plain(Target):
+    """A plain service."""
+
+    def run(self, environ, start, request_id):
+        run = self.note_run(environ, request_id)
+        gevent.sleep(0.02 + self.slow)
+        run.ended_at = self.now()
+        if self.random.random() < self.fail_share:
+            start('500 Failed', self.head(request_id))
+            return [b'failed']
+        run.is_whole = True
+        start('200 OK', self.head(request_id))
+        return [whole_answer(request_id)]
+
+
+class Engine(Target):
+    """An engine that loads and unloads as it is ordered."""
+
+    def start(self):
+        super().start()
+        self.adapters_by_model = {}
+        self.taken = 0
+        self.highest_token = 0
+        self.busy_until = 0.0
+        self.born = int(self.now() * 1000) + self.starts
+
+    def answer(self, environ, start):
+        if environ['PATH_INFO'] == '/api/report':
+            return self.report(start)
+        if environ['PATH_INFO'] == '/api/order':
+            return self.order(environ, start)
+        return super().answer(environ, start)
+
+    def held(self):
+        if self.now() < self.busy_until:
+            return {
+                model: adapters
+                for model, adapters in self.adapters_by_model.items()
+                if model != self.loading
+            }
+        return self.adapters_by_model
+
+    def report(self, start):
+        start('200 OK', [('Content-Type', 'application/json')])
+        models = [
+            {'name': model, 'adapters': sorted(adapters)}
+            for model, adapters in self.held().items()
+        ]
+        report = {
+            'models': models,
+            'busy': self.now() < self.busy_until,
+            'sequence': self.taken,
+            'born': self.born,
+        }
+        return [json.dumps(report).encode()]
+
+    def order(self, environ, start):
+        order = json.loads(environ['wsgi.input'].read())
+        self.book.orders.append((self.now(), self.instance, order))
+        if environ.get('HTTP_EXPECTED_INSTANCE') != self.instance:
+            return self.say(start, '421 Misdirected')
+        if order['fencing_token'] < self.highest_token:
+            return self.say(start, '412 Fenced')
+        self.highest_token = order['fencing_token']
+        if self.now() < self.busy_until or order['expect'] != self.taken:
+            return self.say(start, '409 Conflict')
+        self.taken += 1
+        self.carry_out(order)
+        return self.say(start, '202 Accepted')
+
+    def say(self, start, status):
+        start(status, [('Instance-Id', self.instance)])
+        return [b'']
+
+    def carry_out(self, order):
+        model = order['model']
+        is_load = order['operation'] == 'loading'
+        adapter = order.get('adapter')
+        if adapter is not None:
+            adapters = self.adapters_by_model.get(model, set())
+            (adapters.add if is_load else adapters.discard)(adapter)
+        elif is_load:
+            self.adapters_by_model[model] = set()
+            self.loading = model
+            self.busy_until = self.now() + LOAD_SECONDS
+        else:
+            self.adapters_by_model.pop(model, None)
+        held = sum(map(len, self.adapters_by_model.values()))
+        if (
+            len(self.adapters_by_model) * MODEL_MB > ENGINE_MB
+            or held > ADAPTER_PLACES
+        ):
+            self.book.crashes.append(f'{self.instance} was overrun')
+
+    def run(self, environ, start, request_id):
+        model, _, adapter = environ.get('HTTP_MODEL', '').partition('/')
+        adapters = self.held().get(model)
+        if adapters is None or (adapter and adapter not in adapters):
+            return self.refuse(start, '421 Misdirected', request_id)
+        run = self.note_run(environ, request_id)
+        start('200 OK', self.head(request_id))
+        first = int(environ.get('HTTP_LAST_EVENT_ID') or 0) + 1
+        return self.events(run, request_id, first)
+
+    def events(self, run, request_id, first):
+        for number in range(first, EVENTS + 1):
+            gevent.sleep(EVENT_SECONDS + self.slow)
+            if self.server is None:
+                raise ConnectionError('the engine crashed')
+            yield event_bytes(request_id, number)
+        run.ended_at = self.now()
+        run.is_whole = True
--- /dev/null
+++ b/tests/soak/test_checking.py
@@ -0,0 +1,113 @@
+"""Each check of the soak finds what breaks its promise."""
+
+from dataclasses import replace
+
+import pytest
+
+from soak import checking
+from soak.evidence import Attempt, Evidence, Trouble
+from soak.faults import ACTIONS, NAMES_BY_KIND, draw
+from soak.targets import Run, proof_of, whole_answer
+
+SENT = Attempt('1', 'order', 'kept', 'w1', 'gateway-1', 100.0, 100.1)
+SERVED = replace(
+    SENT,
+    status=200,
+    body=whole_answer('1'),
+    proof=proof_of('1'),
+    is_whole=True,
+)
+RAN = Run('1', 'ledger-1', 'ledger', 'w1', 100.0, 100.05, is_whole=True)
+
+
+def evidence(*attempts, runs=(), **more):
+    made = Evidence(attempts=list(attempts), **more)
+    made.book.runs.extend(runs)
+    return made
+
+
+def limited_runs(count):
+    return [
+        replace(RAN, request_id=str(n), workspace='w2') for n in range(count)
+    ]
+
+
+def orders(*pairs):
+    made = Evidence()
+    made.book.orders.extend(
+        (100.0, 'engine-1', {'holder': holder, 'fencing_token': token})
+        for holder, token in pairs
+    )
+    return made
+
+
+BROKEN = {
+    'run_once': evidence(SERVED, runs=(RAN, RAN)),
+    'refused_never_ran': evidence(replace(SENT, status=503), runs=(RAN,)),
+    'answers_are_the_targets': evidence(replace(SERVED, body=b'other')),
+    'workspaces_are_told': evidence(
+        SERVED,
+        runs=(replace(RAN, workspace='w2'),),
+    ),
+    'withdrawn_keys_open_nothing': evidence(
+        SERVED,
+        runs=(RAN,),
+        key_withdrawn_at={'kept': 94.0},
+    ),
+    'gateways_in_touch_trust_keys': evidence(
+        replace(SENT, status=503, body=b'the key could not be confirmed'),
+    ),
+    'routes_follow_the_configuration': evidence(
+        SERVED,
+        runs=(RAN,),
+        moved=[(97.0, 'archive')],
+    ),
+    'callers_get_an_end_in_time': evidence(replace(SERVED, ended_at=105.0)),
+    'stops_lose_nothing': evidence(
+        replace(SENT, ended_at=100.5),
+        stops=[('gateway-1', 100.2, 103.0, 0)],
+    ),
+    'engines_have_one_holder': orders(('keeper-1', 3), ('keeper-2', 4)),
+    'limits_hold': evidence(runs=limited_runs(500)),
+    'service_recovers': evidence(
+        *(replace(SENT, sent_at=200.0 + n, status=503) for n in range(9)),
+        troubles=[Trouble('cut', 'store', 1.0, 2.0)],
+    ),
+    'programs_keep_running': evidence(exit_codes={'gateway-1': 1}),
+}
+
+
+def names(found):
+    return {violation.partition(':')[0] for violation in found}
+
+
+@pytest.mark.parametrize('name', BROKEN)
+def test_a_broken_promise_is_found(name):
+    assert name in names(checking.violations(BROKEN[name]))
+
+
+def test_what_reaches_a_leaving_target_is_found():
+    made = evidence(SERVED, runs=(RAN,), draining_at={'ledger-1': 97.0})
+    made.book.arrivals.append((100.0, '1', 'ledger-1'))
+    assert names(checking.violations(made)) == {'leaving_targets_get_nothing'}
+    made.troubles.append(Trouble('cut', 'store>gateway-1', 97.5, 98.0))
+    assert not checking.violations(made)
+
+
+def test_an_overrun_engine_and_an_old_token_are_found():
+    made = orders(('keeper-1', 4), ('keeper-1', 3))
+    made.book.crashes.append('engine-1 was overrun')
+    assert names(checking.violations(made)) == {
+        'engines_have_one_holder',
+        'engines_are_not_overrun',
+    }
+
+
+def test_a_day_without_harm_breaks_nothing():
+    assert not checking.violations(evidence(SERVED, runs=(RAN,)))
+
+
+def test_a_seed_draws_the_same_faults_again():
+    assert draw(7) == draw(7)
+    assert draw(7) != draw(8)
+    assert ACTIONS.keys() == NAMES_BY_KIND.keys()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,311 @@
+"""A store, targets, proxies, and real gateways and keepers as processes."""
+
+import json
+import os
+import subprocess
+import sys
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from soak.targets import (
+    ADAPTER_PLACES,
+    ENGINE_MB,
+    LOAD_SECONDS,
+    MODEL_MB,
+    Book,
+    Engine,
+    Plain,
+)
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_harness.processes import Process
+from verbenamux_http.client import ConnectionPool, Outgoing, call
+from verbenamux_http.errors import ExchangeFailure
+from verbenamux_http.headers import Headers
+from verbenamux_platform.store import keyed_record, open_store
+from verbenamux_standin.log import log_route
+from verbenamux_standin.relay import Cuts, Line, Relay
+from verbenamux_standin.web import Faults, make_application
+
+HOUR = timedelta(hours=1)
+SOON = timedelta(seconds=2)
+GATEWAYS = ('gateway-1', 'gateway-2', 'gateway-3')
+KEEPERS = ('keeper-1', 'keeper-2')
+PLAINS = ('plain-1', 'plain-2', 'plain-3')
+MODELS = ('m1', 'm2', 'm3', 'm4')
+STORE_PORT, CALLERS_PORT, READY_PORT = 7000, 8000, 8001
+PEER_PORT, METRICS_PORT, APP_PORT, PROXY_PORT = 8002, 8003, 8004, 9000
+BEAT_SECONDS = 0.5
+# The bounds that the programs are told, and that the promises are held to.
+BOUNDS = {
+    'grace_s': 8,
+    'revoke_ms': 5000,
+    'retry_budget_ratio': 0.2,
+    'budget_extra_retries': 56,
+    'budget_window_s': 10,
+    'ceiling_window_s': 5,
+    'ceiling_overage': 1.1,
+}
+TIMEOUT_MS = 4000
+RATE, BURST = 30.0, 60.0
+
+
+class World:
+    """Everything that a run of the soak needs, on addresses of its own."""
+
+    def __init__(self, folder: Path, slot: int, random: Random):
+        self.folder = folder
+        self.net = f'127.{slot}'
+        self.random = random
+        self.clock = SystemClock()
+        self.book = Book()
+        self.faults = Faults()
+        self.all_keys = {}
+        self.keys = {'kept': 'w1', 'limited': 'w2', 'doomed-1': 'w1'}
+        self.version = 0
+        self.plain_service = 'ledger'
+        self.targets = {}
+        self.silent_targets = set()
+        self.programs = {}
+        self.beating = None
+        self.pool = ConnectionPool(self.clock.elapsed)
+
+    def now(self):
+        return self.clock.elapsed().total_seconds()
+
+    def host(self, name):
+        kind, number = name.split('-')
+        block = ('gateway', 'keeper', 'plain').index(kind)
+        return f'{self.net}.{block}.{number}'
+
+    def start(self):
+        self.start_store()
+        for name in PLAINS:
+            address = f'{self.host(name)}:{APP_PORT}'
+            service = 'ledger' if name != 'plain-3' else 'archive'
+            self.targets[name] = Plain(self.book, self.clock, address, service)
+        for name in KEEPERS:
+            address = f'{self.host(name)}:{APP_PORT}'
+            engine = Engine(self.book, self.clock, address, 'engine')
+            self.targets[name] = engine
+        for target in self.targets.values():
+            target.random = self.random
+            target.start()
+        self.relay = Relay(tuple(self.lines()))
+        self.relay.start()
+        self.put_config()
+        self.beating = gevent.spawn(self.beat)
+        for name in (*KEEPERS, *GATEWAYS):
+            self.programs[name] = self.prepare(name)
+            self.programs[name].start()
+        with gevent.Timeout(30):
+            while not all(map(self.is_ready, GATEWAYS)):
+                gevent.sleep(0.1)
+
+    def start_store(self):
+        application = make_application(
+            log_route(self.clock, HOUR),
+            self.faults,
+        )
+        address = (f'{self.net}.9.1', STORE_PORT)
+        self.store_server = WSGIServer(
+            address,
+            application,
+            log=None,
+            error_log=None,
+        )
+        self.store_server.start()
+        self.store = open_store(
+            f'{address[0]}:{STORE_PORT}', SystemClock().elapsed
+        )
+
+    def lines(self):
+        """Yield the proxied ways: to the store, targets and gateways."""
+        for name in (*GATEWAYS, *KEEPERS):
+            yield Line(
+                f'store>{name}',
+                f'{self.host(name)}:{STORE_PORT}',
+                f'{self.net}.9.1:{STORE_PORT}',
+            )
+        for name in self.targets:
+            host = self.host(name)
+            yield Line(name, f'{host}:{PROXY_PORT}', f'{host}:{APP_PORT}')
+        for name in GATEWAYS:
+            host = self.host(name)
+            yield Line(name, f'{host}:{PROXY_PORT}', f'{host}:{CALLERS_PORT}')
+
+    def prepare(self, name):
+        host = self.host(name)
+        settings = {
+            'node_name': name,
+            'ip': host,
+            'zone': 'z1' if name.endswith('1') else 'z2',
+            'internal_ports': [PEER_PORT, METRICS_PORT],
+            'platform': {'address': f'{host}:{STORE_PORT}'},
+            'bounds': BOUNDS,
+        }
+        if name in GATEWAYS:
+            settings['listen'] = {
+                'frontend': f'{host}:{CALLERS_PORT}',
+                'ready': f'{host}:{READY_PORT}',
+            }
+        else:
+            settings |= {'app': f'{host}:{APP_PORT}', 'service': 'engine'}
+        path = self.folder / f'{name}.yaml'
+        path.write_text(json.dumps(settings))
+        role = name.split('-')[0]
+        return SettledProcess(
+            name,
+            [sys.executable, '-m', f'verbenamux_platform.run_{role}'],
+            self.folder / f'{name}.log',
+            str(path),
+        )
+
+    def put(self, topic, key, value):
+        """Write a record as the platform would; return when it was kept."""
+        encoded = b'' if value is None else json.dumps(value).encode()
+        self.direct_append(topic, keyed_record(key, encoded))
+        return self.now()
+
+    def direct_append(self, topic, record):
+        # The operator and the targets reach the store whatever is down.
+        was_down, self.faults.down = self.faults.down, False
+        try:
+            assert self.store.append(topic, record).unwrap() >= 0
+        finally:
+            self.faults.down = was_down
+
+    def put_config(self):
+        self.version += 1
+        return self.put('keyed.op', 'config', self.config())
+
+    def config(self):
+        engine = {
+            'slots': 8,
+            'kv_cache_tokens': 100_000,
+            'weights_mb': ENGINE_MB,
+            'adapter_capacity': ADAPTER_PLACES,
+            'loads_per_s': 20,
+            'models': [
+                {
+                    'name': name,
+                    'weights_mb': MODEL_MB,
+                    'load_time_s': LOAD_SECONDS,
+                    'adapters': 2,
+                }
+                for name in MODELS
+            ],
+        }
+        tenants = [
+            {
+                'name': workspace,
+                'api_keys': [
+                    key
+                    for key, holder in self.keys.items()
+                    if holder == workspace
+                ],
+                'rate_per_s': RATE if workspace == 'w2' else 0,
+                'burst': BURST if workspace == 'w2' else 0,
+            }
+            for workspace in ('w1', 'w2')
+        ]
+        routes = [
+            route('/order/', 'non_idempotent', self.plain_service),
+            route('/look/', 'idempotent', self.plain_service),
+            route('/model/', 'streaming', 'engine'),
+        ]
+        return {
+            'version': self.version,
+            'routes': routes,
+            'services': [
+                {'name': 'ledger'},
+                {'name': 'archive'},
+                {'name': 'engine', 'engine': engine},
+            ],
+            'tenants': tenants,
+        }
+
+    def entry(self, name, state='ready'):
+        target = self.targets[name]
+        held = getattr(target, 'adapters_by_model', {})
+        return {
+            'service': target.service,
+            'address': f'{self.host(name)}:{PROXY_PORT}',
+            'zone': 'z1' if name.endswith('1') else 'z2',
+            'slots': 8,
+            'state': state,
+            'sequence': int(self.now() * 10),
+            'models': [{'name': model} for model in held],
+            'born': getattr(target, 'born', target.starts),
+        }
+
+    def beat(self):
+        """Have every living target check in."""
+        while True:
+            for name, target in self.targets.items():
+                is_quiet = name in self.silent_targets or target.server is None
+                if not is_quiet:
+                    self.put('keyed.servers', target.instance, self.entry(name))
+            gevent.sleep(BEAT_SECONDS)
+
+    def is_ready(self, name):
+        outgoing = Outgoing(
+            'GET',
+            '/api/readiness',
+            Headers((('Host', 'h'),)),
+        )
+        address = (self.host(name), READY_PORT)
+        try:
+            head, _ = call(self.pool, address, outgoing, SOON)
+        except ExchangeFailure:
+            return False
+        return head.status == 200
+
+    def apply(self, cuts: Cuts):
+        self.relay.apply(cuts)
+
+    def stop(self):
+        """End the programs; return how each of them ended."""
+        codes = {}
+        for name, process in self.programs.items():
+            codes[name] = process.stop()
+        if self.beating is not None:
+            self.beating.kill()
+        return codes
+
+
+class SettledProcess(Process):
+    """A program that finds its settings as the platform hands them over."""
+
+    __slots__ = ('settings_path',)
+
+    def __init__(self, name, command, log_path, settings_path):
+        super().__init__(name, command, log_path)
+        self.settings_path = settings_path
+
+    def _spawn(self, log_file):
+        return subprocess.Popen(
+            self.command,
+            env=os.environ | {'VERBENAMUX_BOOT': self.settings_path},
+            stdin=subprocess.DEVNULL,
+            stdout=log_file,
+            stderr=log_file,
+        )
+
+
+def route(prefix, kind, service):
+    """Return one route of the configuration."""
+    return {
+        'name': prefix.strip('/'),
+        'hostname': 'h',
+        'path_prefix': prefix,
+        'route_kind': kind,
+        'timeout_ms': TIMEOUT_MS,
+        'target_latency_ms': 1000,
+        'service': service,
+        'max_attempts': 2,
+        'resumable': kind == 'streaming',
+    }
