Count prompts being read, tell keepers once, decide cheaper, coalesce adapters

Keepers now count requests without a first event; - each adapter's order sent three whole reports to 28 gateways; adapters now go with the counts; - copies went where they were cheapest to load, also beside busy models: what runs at a target now counts against it.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -322,7 +322,8 @@
     """What an engine may hold, from the newest configuration.
 
     `store_loads_per_second` is the pace of the weight store for all
-    `targets` of the service together.
+    `targets` of the service together. `terms` names all that it says, but
+    for the `version` that it comes from.
     """
 
     version: int
@@ -331,16 +332,18 @@
     adapter_places: int
     store_loads_per_second: float
     targets: int
+    terms: str = ''
 
 
 class KeeperReport(Message, frozen=True):
     """A keeper tells what its engine holds and does now.
 
-    `pending` lists models and adapters that are being loaded. While
+    `unstarted` counts requests without a first event, queued or being read.
+    `pending` lists models that are being loaded. While
     `store_loads_ready` is false, this engine's part of the weight store's
-    pace is spent. `notice_version` is that of the newest EngineNotice, 0
-    without any. `started_ms` is the Unix time of the engine's start,
-    `ordered_ms` how long ago the model order under way was asked for.
+    pace is spent. `terms` are those of the newest EngineNotice. `started_ms`
+    is the Unix time of the engine's start, `ordered_ms` how long ago the
+    model order under way was asked for.
     `revision` counts the reports whose holdings changed.
     """
 
@@ -349,13 +352,13 @@
     service: str = ''
     address: str = ''
     data_centre: str = ''
-    notice_version: int = 0
+    terms: str = ''
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     pending: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     in_memory: tuple[str, ...] = ()
-    queued: int = 0
+    unstarted: int = 0
     active: int = 0
     used_tokens: int = 0
     total_tokens: int = 0
@@ -368,12 +371,14 @@
 class KeeperLoad(Message, frozen=True):
     """A keeper tells that it lives and what its engine has to do.
 
-    All else is as in the KeeperReport with the same `revision`.
+    `adapters` are all that the engine holds, if that changed. All else is as
+    in the KeeperReport with the same `revision`.
     """
 
     target_id: str
     revision: int
-    queued: int = 0
+    adapters: tuple[str, ...] | None = None
+    unstarted: int = 0
     active: int = 0
     used_tokens: int = 0
 
--- a/libs/keeper/src/verbenamux_keeper/engine.py
+++ b/libs/keeper/src/verbenamux_keeper/engine.py
@@ -45,7 +45,8 @@
 class EngineState:
     """What an engine says of itself. Memory is in tokens.
 
-    `orders_taken` counts the orders it accepted since its start.
+    `orders_taken` counts the orders it accepted since its start,
+    `unstarted` the requests without a first event, queued or being read.
     """
 
     adapters_by_model: dict[str, frozenset[str]] = field(default_factory=dict)
@@ -54,7 +55,7 @@
     in_memory: frozenset[str] = frozenset()
     is_busy: bool = False
     orders_taken: int = 0
-    queued: int = 0
+    unstarted: int = 0
     active: int = 0
     used_tokens: int = 0
     total_tokens: int = 0
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -33,8 +33,11 @@
 READ_PERIOD = timedelta(milliseconds=150)
 ORDER_PERIOD = timedelta(milliseconds=40)
 ADAPTER_PERIOD = timedelta(milliseconds=4)
-# Reports whose counts alone changed go out no more often than this.
-REPORT_PERIOD = timedelta(milliseconds=400)
+# Reports whose counts alone changed go out no more often than this, in a
+# small fleet.
+REPORT_PERIOD = timedelta(milliseconds=150)
+# From this many gateways on they go out less often in proportion.
+REPORT_GATEWAYS = 10
 # Reports that say nothing new go out this often.
 IDLE_REPORT_PERIOD = timedelta(milliseconds=500)
 # A gateway that has not said hello for this long gets no reports.
@@ -166,8 +169,18 @@
             self._revision += 1
             report = msgspec.structs.replace(report, revision=self._revision)
             self._publish(report, report)
-        elif silence >= _load_period(report, told):
-            self._publish(report, _load(report))
+        elif silence >= self._load_period(report, told):
+            self._publish(report, _load(report, told))
+
+    def _load_period(
+        self,
+        report: KeeperReport,
+        told: KeeperReport,
+    ) -> timedelta:
+        if _load(report, told) == _load(told, told):
+            return IDLE_REPORT_PERIOD
+        gateways = len(self.state.subscribers)
+        return REPORT_PERIOD * max(gateways / REPORT_GATEWAYS, 1)
 
     def _publish(
         self,
@@ -186,7 +199,7 @@
     def _report(self) -> KeeperReport:
         engine = self.state.engine or EngineState()
         notice = self.state.notice
-        pending = set(engine.pending)
+        pending = set(_models_of(engine.pending))
         if self.state.ordering is not None:
             pending.add(self.state.ordering)
         return KeeperReport(
@@ -195,13 +208,13 @@
             service=self._place.service,
             address=self._place.address,
             data_centre=self._place.data_centre,
-            notice_version=notice.version if notice else 0,
+            terms=notice.terms if notice else '',
             models=tuple(sorted(engine.models)),
             adapters=tuple(sorted(engine.adapters)),
             pending=tuple(sorted(pending)),
             on_disk=tuple(sorted(engine.on_disk)),
             in_memory=tuple(sorted(engine.in_memory)),
-            queued=engine.queued,
+            unstarted=engine.unstarted,
             active=engine.active,
             used_tokens=engine.used_tokens,
             total_tokens=engine.total_tokens,
@@ -521,27 +534,29 @@
     return held is (kind is OrderKind.LOAD)
 
 
-def _load_period(report: KeeperReport, told: KeeperReport) -> timedelta:
-    return IDLE_REPORT_PERIOD if _load(report) == _load(told) else REPORT_PERIOD
-
-
-def _load(report: KeeperReport) -> KeeperLoad:
+def _load(report: KeeperReport, told: KeeperReport) -> KeeperLoad:
+    is_news = report.adapters != told.adapters
     return KeeperLoad(
         target_id=report.target_id,
         revision=report.revision,
-        queued=report.queued,
+        adapters=report.adapters if is_news else None,
+        unstarted=report.unstarted,
         active=report.active,
         used_tokens=report.used_tokens,
     )
 
 
 def _holding(report: KeeperReport) -> KeeperReport:
-    """Return a report without the counts, which change all the time."""
+    """Return a report without what changes all the time.
+
+    These are the counts, and adapters: who asked for one hears of it anyway.
+    """
     return msgspec.structs.replace(
         report,
+        adapters=(),
         ordered_ms=0,
         revision=0,
-        queued=0,
+        unstarted=0,
         active=0,
         used_tokens=0,
         total_tokens=0,
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -114,8 +114,9 @@
         )
         for name, spent in spent_by_workspace.items():
             workspace = workspaces_by_name.get(name)
-            if workspace is not None and workspace.per_second:
-                self._fill(workspace).level -= spent - before.get(name, 0)
+            news = spent - before.get(name, 0)
+            if news and workspace is not None and workspace.per_second:
+                self._fill(workspace).level -= news
 
     def _take_over(
         self,
--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import lru_cache
 
 # Cost of a target's rate of failures: at a rate of one, this long.
 FAILURE_PENALTY = timedelta(seconds=3)
@@ -25,6 +26,8 @@
 # Wait at a target whose memory of tokens is full, a token over.
 FULL_MEMORY_WAIT = timedelta(milliseconds=0.02)
 KILOBYTE = 1000
+# Weights remembered: some hundred prompts at each of some dozen targets.
+WEIGHTS_KEPT = 8000
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
     )
 
 
+@lru_cache(maxsize=WEIGHTS_KEPT)
 def rendezvous_weight(affinity: str, target_id: str) -> int:
     """Return the same rank for a pair on every gateway."""
     material = f'{affinity}\0{target_id}'.encode()
--- a/libs/relay/src/verbenamux_relay/demand.py
+++ b/libs/relay/src/verbenamux_relay/demand.py
@@ -38,7 +38,8 @@
     def begin(self, model: str) -> None:
         """Count a request that came and waits for its first event."""
         self.asked_by_model[model] += 1
-        self._add_recent(model, 1)
+        self._decay()
+        self._add(model, 1)
         self.waiting_by_model[model] += 1
 
     def end(self, model: str) -> None:
@@ -57,8 +58,9 @@
         """Take in the counts of another gateway's run."""
         known = self._peers_by_instance.get(instance)
         before = known.asked if known else usage.asked
+        self._decay()
         for model, asked in usage.asked.items():
-            self._add_recent(model, asked - before.get(model, 0))
+            self._add(model, asked - before.get(model, 0))
         self._peers_by_instance[instance] = _Peer(
             self._elapsed(),
             usage.waiting,
@@ -84,10 +86,10 @@
             },
         )
 
-    def _add_recent(self, model: str, asked: int) -> None:
-        self._decay()
-        recent = self._recent_by_model.get(model, 0)
-        self._recent_by_model[model] = recent + asked
+    def _add(self, model: str, asked: int) -> None:
+        if asked:
+            recent = self._recent_by_model.get(model, 0)
+            self._recent_by_model[model] = recent + asked
 
     def _decay(self) -> None:
         now = self._elapsed()
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,12 +1,15 @@
 """A relaying gateway: what it believes, whom it tells, and its tasks."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import partial
+from hashlib import blake2b
 from itertools import count
 
+import msgspec
+
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import (
@@ -19,6 +22,7 @@
     ModelSize,
     ReadAsk,
     UsageNotice,
+    encode_message,
 )
 from verbenamux_http.client import parse_address
 from verbenamux_relay.allowance import Allowance
@@ -41,6 +45,10 @@
 # times while they report.
 ENGINE_PERIOD = timedelta(milliseconds=250)
 GREETING_ROUNDS = 8
+# Gateways but the first tell a keeper only what it lacked for this long.
+INFORM_DELAY = timedelta(seconds=1)
+# Bytes that name the terms of an engine.
+TERMS_BYTES = 6
 # So many removed targets are remembered by name.
 REMOVED_MOST = 1000
 # Removed targets are kept this long for answers still under way.
@@ -106,7 +114,7 @@
         self._confirmed_at: timedelta | None = None
         self._keepers_by_host: dict[str, PeerLink] = {}
         self._budget_by_service: dict[str, RepeatBudget] = {}
-        self._notice_by_target: dict[str, EngineNotice] = {}
+        self._uninformed_since: dict[str, timedelta] = {}
         self._moving: set[str] = set()
         self._removed_ids: OrderedDict[str, None] = OrderedDict()
         self._rounds = count()
@@ -209,34 +217,40 @@
         with each call.
         """
         is_due = next(self._rounds) % GREETING_ROUNDS == 0
+        notice_by_service = self._engine_notices()
         now = self._clock.elapsed()
         for target in tuple(self.beliefs.book.by_id.values()):
             is_silent = not target.report or target.has_silent_keeper(now)
             if is_due or is_silent:
                 hello = KeeperHello(self.setup.instance, is_silent)
                 self._tell_keeper(target, hello)
-            engine = self._engine_of(target.entry.service)
-            if engine is not None:
-                self._inform(target, self._engine_notice(target, engine))
+            notice = notice_by_service.get(target.entry.service)
+            if notice is not None:
+                self._inform(target, notice, now)
+
+    def _inform(
+        self,
+        target: Target,
+        notice: EngineNotice,
+        now: timedelta,
+    ) -> None:
+        """Tell a keeper what its engine may hold, if that is news to it.
 
-    def _inform(self, target: Target, notice: EngineNotice) -> None:
-        """Tell a keeper what its engine may hold, if that is news to it."""
+        Load pattern: configurations follow each other in many gateways. The
+        first one tells; others only where that came to nothing.
+        """
         target_id = target.entry.target_id
-        is_known = self._notice_by_target.get(target_id) == notice
-        if is_known and self._is_informed(target):
+        if target.report is not None and target.report.terms == notice.terms:
+            self._uninformed_since.pop(target_id, None)
             return
-        if self._tell_keeper(target, notice):
-            self._notice_by_target[target_id] = notice
+        since = self._uninformed_since.setdefault(target_id, now)
+        if self.peers.is_first() or now - since >= INFORM_DELAY:
+            self._tell_keeper(target, notice)
 
     def _tell_keeper(self, target: Target, message: Message) -> bool:
         link = self._keeper_link(target.entry.target_id)
         return link is not None and link.send(message)
 
-    def _is_informed(self, target: Target) -> bool:
-        report = target.report
-        version = self._catalog.version if self._catalog else 0
-        return report is not None and report.notice_version >= version
-
     def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
         """Start the moves that bring models nearer to demand.
 
@@ -296,7 +310,7 @@
             if not target.in_flight:
                 self.beliefs.book.forget(target_id)
                 self.beliefs.prompts.forget(target_id)
-                self._notice_by_target.pop(target_id, None)
+                self._uninformed_since.pop(target_id, None)
         hosts = {
             target.entry.address[0]
             for target in self.beliefs.book.by_id.values()
@@ -316,24 +330,25 @@
         known = self._catalog.services_by_name.get(service)
         return known.engine if known else None
 
-    def _engine_notice(
-        self,
-        target: Target,
-        engine: EngineTerms,
-    ) -> EngineNotice:
+    def _engine_notices(self) -> dict[str, EngineNotice]:
+        """Return what keepers must know, by service."""
+        if self._catalog is None:
+            return {}
         now = self._clock.elapsed()
-        siblings = self.beliefs.book.of_service(target.entry.service)
-        return EngineNotice(
-            version=self._catalog.version if self._catalog else 0,
-            models=tuple(
-                ModelSize(model.name, model.weights_mb)
-                for model in engine.models_by_name.values()
-            ),
-            weights_mb=engine.weights_mb,
-            adapter_places=engine.adapter_places,
-            store_loads_per_second=engine.store_loads_per_second,
-            targets=sum(is_serving(sibling, now) for sibling in siblings),
+        serving = Counter(
+            target.entry.service
+            for target in self.beliefs.book.by_id.values()
+            if is_serving(target, now)
         )
+        return {
+            service.name: _engine_notice(
+                self._catalog.version,
+                service.engine,
+                serving[service.name],
+            )
+            for service in self._catalog.services_by_name.values()
+            if service.engine is not None
+        }
 
     def _follow_keeper(self, target: Target) -> None:
         engine = self._engine_of(target.entry.service)
@@ -382,10 +397,14 @@
             return
         now = self._clock.elapsed()
         target.heard_at = now
+        adapters = message.adapters
         target.report = replace(
             target.report,
             received_at=now,
-            queued=message.queued,
+            adapters=target.report.adapters
+            if adapters is None
+            else frozenset(adapters),
+            unstarted=message.unstarted,
             active=message.active,
             used_tokens=message.used_tokens,
         )
@@ -436,6 +455,30 @@
         self.demand.hear(notice.instance, usage)
 
 
+def _engine_notice(
+    version: int,
+    engine: EngineTerms,
+    targets: int,
+) -> EngineNotice:
+    notice = EngineNotice(
+        version=0,
+        models=tuple(
+            ModelSize(model.name, model.weights_mb)
+            for model in engine.models_by_name.values()
+        ),
+        weights_mb=engine.weights_mb,
+        adapter_places=engine.adapter_places,
+        store_loads_per_second=engine.store_loads_per_second,
+        targets=targets,
+    )
+    digest = blake2b(encode_message(notice), digest_size=TERMS_BYTES)
+    return msgspec.structs.replace(
+        notice,
+        version=version,
+        terms=digest.hexdigest(),
+    )
+
+
 def _decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
     return TargetReport(
         target_id=message.target_id,
@@ -445,7 +488,7 @@
         pending=frozenset(message.pending),
         on_disk=frozenset(message.on_disk),
         in_memory=frozenset(message.in_memory),
-        queued=message.queued,
+        unstarted=message.unstarted,
         active=message.active,
         used_tokens=message.used_tokens,
         total_tokens=message.total_tokens,
@@ -453,5 +496,5 @@
         ordered_at=now - timedelta(milliseconds=message.ordered_ms),
         revision=message.revision,
         store_loads_ready=message.store_loads_ready,
-        notice_version=message.notice_version,
+        terms=message.terms,
     )
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -164,6 +164,7 @@
         in_memory=report.in_memory,
         loading=_loading(report),
         may_load_cold=report.store_loads_ready,
+        running=report.active,
     )
 
 
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -8,9 +8,9 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
-from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from heapq import heapify, heappop, heappush
 
 from verbenamux_relay.catalog import EngineTerms, ModelTerms
 from verbenamux_relay.choosing import rendezvous_weight
@@ -25,6 +25,9 @@
 LAST_COPY_FACTOR = 3.0
 # Loss that one request a second at an evicted copy stands for.
 VALUE_TIME = timedelta(seconds=1)
+# What each request that runs at a target counts against it: a copy beside
+# other busy models relieves little.
+RUNNING_TIME = timedelta(milliseconds=40)
 # A load from the weight store counts this much more than its time.
 STORE_LOAD_PENALTY = timedelta(seconds=2)
 
@@ -34,7 +37,8 @@
     """A target as a place for models.
 
     `may_load_cold` is false while its part of the weight store's pace is
-    spent; `loading` names the model that it is loading now.
+    spent; `loading` names the model that it is loading now, `running` counts
+    its requests.
     """
 
     target_id: str
@@ -43,6 +47,7 @@
     in_memory: frozenset[str] = frozenset()
     loading: str | None = None
     may_load_cold: bool = True
+    running: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,23 +97,7 @@
 
     None when no target can take it now.
     """
-    if model not in terms.models_by_name:
-        return None
-    count_by_model = copies(holdings)
-    offers = (
-        _offer(model, holding, terms, demand, count_by_model)
-        for holding in holdings
-        if holding.loading is None and model not in holding.models
-    )
-    best = min(
-        (offer for offer in offers if offer is not None),
-        key=lambda offer: (
-            offer[0],
-            -rendezvous_weight(model, offer[1].target_id),
-        ),
-        default=None,
-    )
-    return best[1] if best else None
+    return _best(model, holdings, terms, demand, copies(holdings))
 
 
 def plan(
@@ -122,24 +111,81 @@
     one loads it anyway.
     """
     place_by_target = {holding.target_id: holding for holding in holdings}
-    passed_over: set[str] = set()
-    while len(passed_over) < len(terms.models_by_name):
+    count_by_model = copies(holdings)
+    wanted = [
+        (-_gain(name, demand, count_by_model), name)
+        for name in terms.models_by_name
+    ]
+    heapify(wanted)
+    while wanted:
+        _, model = heappop(wanted)
         places = tuple(place_by_target.values())
-        count_by_model = copies(places)
-        model = _most_wanted(
-            terms.models_by_name.keys() - passed_over,
-            demand,
-            count_by_model,
-        )
-        move = place(model, places, terms, demand)
+        if not count_by_model.get(model):
+            places = tuple(
+                _with_room(terms.models_by_name[model], places, terms)
+            )
+        elif not _may_relieve(model, demand, count_by_model):
+            continue
+        move = _best(model, places, terms, demand, count_by_model)
         if move is None or not _pays(move, demand, count_by_model):
-            passed_over.add(model)
             continue
         yield move
         place_by_target[move.target_id] = replace(
             place_by_target[move.target_id],
             loading=model,
         )
+        count_by_model[model] = count_by_model.get(model, 0) + 1
+        heappush(wanted, (-_gain(model, demand, count_by_model), model))
+
+
+def _best(
+    model: str,
+    holdings: Iterable[Holding],
+    terms: EngineTerms,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> Move | None:
+    if model not in terms.models_by_name:
+        return None
+    offers = (
+        _offer(model, holding, terms, demand, count_by_model)
+        for holding in holdings
+        if holding.loading is None and model not in holding.models
+    )
+    best = min(
+        (offer for offer in offers if offer is not None),
+        key=lambda offer: (
+            offer[0],
+            -rendezvous_weight(model, offer[1].target_id),
+        ),
+        default=None,
+    )
+    return best[1] if best else None
+
+
+def _may_relieve(
+    model: str,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> bool:
+    """Tell whether one more copy may pay, before places are looked at."""
+    waiting = demand.waiting_by_model.get(model, 0)
+    return waiting / max(count_by_model.get(model, 0), 1) > RELIEF_LEAST
+
+
+def _with_room(
+    wanted: ModelTerms,
+    holdings: Iterable[Holding],
+    terms: EngineTerms,
+) -> Iterator[Holding]:
+    """Yield the targets that have room without any model making way."""
+    for holding in holdings:
+        taken = sum(
+            terms.models_by_name[name].weights_mb
+            for name in holding.models & terms.models_by_name.keys()
+        )
+        if taken + wanted.weights_mb <= terms.weights_mb:
+            yield holding
 
 
 def load_time(terms: ModelTerms, holding: Holding) -> timedelta:
@@ -151,17 +197,6 @@
     return terms.cold_load
 
 
-def _most_wanted(
-    names: AbstractSet[str],
-    demand: Demand,
-    count_by_model: Mapping[str, int],
-) -> str:
-    return max(
-        names,
-        key=lambda name: (_gain(name, demand, count_by_model), name),
-    )
-
-
 def _gain(
     model: str,
     demand: Demand,
@@ -211,6 +246,7 @@
         return None
     lost = sum(_loss(victim, demand, count_by_model) for victim in evict)
     price = load_time(wanted, holding) + VALUE_TIME * lost
+    price += RUNNING_TIME * holding.running
     if is_cold:
         price += STORE_LOAD_PENALTY
     move = Move(
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -54,7 +54,7 @@
     pending: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     in_memory: frozenset[str] = frozenset()
-    queued: int = 0
+    unstarted: int = 0
     active: int = 0
     used_tokens: int = 0
     total_tokens: int = 0
@@ -62,7 +62,7 @@
     ordered_at: timedelta = timedelta()
     revision: int = 0
     store_loads_ready: bool = True
-    notice_version: int = 0
+    terms: str = ''
 
 
 @dataclass(slots=True)
@@ -169,18 +169,18 @@
         self.paused_until = now + min(pause, PAUSE_MOST)
 
     def _notice(self, now: timedelta) -> LoadNotice | None:
+        """Return the load by its keeper's word, else by its answers.
+
+        A keeper knows which prompts are still being read; for an answer
+        these run already.
+        """
         report = self.report
-        is_newest = report is not None and (
-            self.load is None or report.received_at >= self.load_at
-        )
-        if report is not None and is_newest:
-            if now - report.received_at < LOAD_NOTICE_MOST:
-                return LoadNotice(
-                    report.active,
-                    report.queued,
-                    self.entry.slots,
-                )
-            return None
+        if report is not None and (now - report.received_at < LOAD_NOTICE_MOST):
+            return LoadNotice(
+                report.active,
+                report.unstarted,
+                self.entry.slots,
+            )
         if self.load is not None and now - self.load_at < LOAD_NOTICE_MOST:
             return self.load
         return None
--- a/libs/standin/src/verbenamux_standin/relay.py
+++ b/libs/standin/src/verbenamux_standin/relay.py
@@ -50,12 +50,25 @@
     lines: tuple[Line, ...]
     cuts: Cuts = field(default_factory=Cuts)
     open_by_line: dict[str, set[socket.socket]] = field(default_factory=dict)
+    listeners: list[StreamServer] = field(default_factory=list)
 
     def start(self) -> None:
         """Listen on every line."""
         for line in self.lines:
             self.open_by_line[line.name] = set()
-            StreamServer(parse(line.listen), self._accept_on(line)).start()
+            listener = StreamServer(
+                parse(line.listen),
+                self._accept_on(line),
+            )
+            listener.start()
+            self.listeners.append(listener)
+
+    def stop(self) -> None:
+        """Listen no more, and reset all connections."""
+        for listener in self.listeners:
+            listener.stop()
+        for name in self.open_by_line:
+            self.reset(name)
 
     def route(self, request: Request) -> Reply:
         """Take new cuts over HTTP; connections of cut lines break."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,13 +4,17 @@
 from datetime import timedelta
 
 import pytest
+from gevent.pywsgi import WSGIServer
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure
 
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_http.client import ConnectionPool
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import ResponseHead
 from verbenamux_platform.dialect import read_answer, read_terms, word_refusal
+from verbenamux_platform.engine_calls import EngineCalls
 from verbenamux_platform.entries import decode_catalog, decode_target
 from verbenamux_platform.settings import read_process_settings
 from verbenamux_relay.dialect import Refusal
@@ -223,3 +227,26 @@
     assert 'cannot read' in (
         read_process_settings(tmp_path / 'none').failure().message
     )
+
+
+@pytest.mark.parametrize(
+    ('runs', 'unstarted'),
+    [
+        ([], 2),
+        ([['a', 900, 0, 1], ['b', 20, 7, 0], ['c', 0, 0, 0]], 4),
+        ([['a'], []], 2),
+    ],
+)
+def test_an_engine_tells_what_it_has_not_answered_yet(runs, unstarted):
+    report = {'models': [], 'busy': False, 'sequence': 0, 'queued': 2}
+
+    def answer(_environ, start):
+        start('200 OK', [])
+        return [json.dumps(report | {'runs': runs}).encode()]
+
+    server = WSGIServer(('127.0.0.1', 0), answer, log=None)
+    server.start()
+    pool = ConnectionPool(SystemClock().elapsed)
+    calls = EngineCalls(('127.0.0.1', server.server_port), pool, 'holder')
+    assert calls.read().unstarted == unstarted
+    server.stop()
--- a/tests/relay/test_placing.py
+++ b/tests/relay/test_placing.py
@@ -128,3 +128,17 @@
     }
     assert len(moves) == 1
     assert isinstance(moves.pop(), Move)
+
+
+def test_a_copy_goes_where_little_runs():
+    """Demand gathers on a few targets while others have little to do."""
+    holdings = (
+        target('hot', 'busy-1', running=40),
+        target('warm', 'busy-2', 'rare-1', running=30),
+        target('cool', 'rare-2', 'rare-3', running=2),
+    )
+    waiting = {'busy-1': 6, 'busy-2': 1}
+    recent = {'busy-1': 20, 'busy-2': 5, 'rare-2': 0.2, 'rare-3': 0.1}
+    moves = tuple(plan(holdings, terms(150), demand(waiting, recent)))
+    assert moves[0].target_id == 'cool'
+    assert moves[0].model == 'busy-1'
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -5,7 +5,14 @@
 import pytest
 
 from verbenamux_relay.picking import is_serving
-from verbenamux_relay.targets import REPLACED_REST, TargetBook, TargetEntry
+from verbenamux_relay.targets import (
+    REPLACED_REST,
+    Target,
+    TargetBook,
+    TargetEntry,
+    TargetReport,
+)
+from verbenamux_relay.terms import LoadNotice
 
 NOW = timedelta(seconds=100)
 ADDRESS = ('10.0.0.1', 80)
@@ -54,3 +61,15 @@
     assert serving(book, NOW + REPLACED_REST) == {'a'}
     book.put(entry('a', 3000), NOW)
     assert serving(book) == {'a'}
+
+
+def test_prompts_that_others_had_read_count_though_answers_say_they_run():
+    """A burst at all gateways: each sees only its own part of the work."""
+    target = Target(entry('a', 1000))
+    target.report = TargetReport('a', NOW, unstarted=4, active=9)
+    target.load = LoadNotice(9, 0, 64)
+    target.load_at = NOW + timedelta(milliseconds=100)
+    assert target.waiting(target.load_at) == 4
+    later = NOW + timedelta(seconds=2)
+    target.load_at = later
+    assert target.waiting(later) == 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -274,6 +274,11 @@
             codes[name] = process.stop()
         if self.beating is not None:
             self.beating.kill()
+        self.relay.stop()
+        for target in self.targets.values():
+            if target.server is not None:
+                target.crash()
+        self.store_server.stop(timeout=0)
         return codes
 
 
