Look up no names when the metrics server starts

With faulthandler the main thread stands in the start of the metrics server: gevent's WSGI server resolves its own address then, in a native thread of its resolver. A start needs no name. Before: a test with a resolver that refuses failed.

--- a/libs/runtime/src/verbenamux_runtime/webserver.py
+++ b/libs/runtime/src/verbenamux_runtime/webserver.py
@@ -146,6 +146,8 @@
         handler_class=QuietHandler,
         log=None,
         error_log=None,
+        # Without a name the server looks its address up, in a thread.
+        environ={'SERVER_NAME': host},
     )
     server.encode_error = encode_error
     server.start()
--- /dev/null
+++ b/tests/runtime/test_webserver.py
@@ -0,0 +1,36 @@
+"""The small web server for metrics and health."""
+
+import gevent
+import pytest
+from gevent import pywsgi, socket
+
+from verbenamux_runtime.webserver import serve
+
+
+def answer(_environ, start):
+    start('200 OK', [])
+    return [b'page']
+
+
+@pytest.fixture
+def port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def test_a_start_looks_up_no_names(port, monkeypatch):
+    """A look-up may take seconds, and runs in a thread beside the loop."""
+
+    def refuse(name=''):
+        raise AssertionError(f'{name} was looked up')
+
+    monkeypatch.setattr(pywsgi.socket, 'getfqdn', refuse)
+    server = serve(f'127.0.0.1:{port}', answer)
+    with (
+        gevent.Timeout(5),
+        socket.create_connection(('127.0.0.1', port)) as asker,
+    ):
+        asker.sendall(b'GET / HTTP/1.0\r\n\r\n')
+        assert asker.recv(65536).startswith(b'HTTP/1.1 200')
+    server.stop()
