--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -282,6 +282,10 @@
         connection.idle_most = exchange.stated_idle()
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
+    def idle_count(self) -> int:
+        """Return how many idle connections are kept."""
+        return sum(map(len, self._idle_by_address.values()))
+
     def drop(self, address: Address) -> None:
         """Close every idle connection to an address."""
         for connection in self._idle_by_address.pop(address, ()):
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -62,6 +62,10 @@
 Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
 
 
+def _count_nothing(_name: str, **_labels: str) -> None:
+    """Stand for metrics where nobody reads any."""
+
+
 @dataclass(frozen=True, slots=True)
 class EnginePlace:
     """Where the engine is: its service, address and data centre."""
@@ -98,6 +102,7 @@
         clock: Clock,
         send: Send,
         log: Callable[..., None],
+        count: Callable[..., None] = _count_nothing,
     ) -> None:
         """Start with nothing known of the engine."""
         self.state = KeeperState()
@@ -107,6 +112,7 @@
         self._clock = clock
         self._send = send
         self._log = log
+        self._count = count
         self._models_lock = RLock()
         self._orders_lock = RLock()
         self._told: KeeperReport | None = None
@@ -457,6 +463,7 @@
             return OrderAnswer.HOLDS
         order = Order(kind, model, adapter, engine.orders_taken)
         answer = self._port.order(target_id, token, order)
+        self._count('orders_total', order=kind.value, answer=answer.value)
         self._log(
             'order_given',
             order=kind.value,
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -104,6 +104,7 @@
             link_of=self._keeper_link,
             clock=clock,
             log=log,
+            count=metrics.count,
             demand=self.demand.current,
         )
         self.server = PeerServer(setup.peer_address, self._hear)
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -38,6 +38,7 @@
 
 LinkOf = Callable[[str], PeerLink | None]
 LogLine = Callable[..., None]
+Count = Callable[..., None]
 
 
 @dataclass(slots=True)
@@ -48,6 +49,7 @@
     link_of: LinkOf
     clock: Clock
     log: LogLine
+    count: Count
     demand: Callable[[], Demand]
     _changed: Event = field(default_factory=Event)
     _asking: set[str] = field(default_factory=set)
@@ -97,6 +99,7 @@
             ADAPTER_MOST + patience,
         )
         in_place = isinstance(reply, LoadReply) and reply.in_place
+        self.count('adapter_loads_total', outcome=_outcome(in_place))
         if not in_place:
             cause = reply.cause if isinstance(reply, LoadReply) else 'silent'
             self.log(
@@ -132,6 +135,7 @@
         if not in_place:
             rest_until = self.clock.elapsed() + REFUSAL_REST
             self._resting_until[move.target_id] = rest_until
+        self.count('model_moves_total', outcome=_outcome(in_place))
         self.log(
             'model_move',
             target=move.target_id,
@@ -198,3 +202,7 @@
             places = holdings(self.book, service.name, self.clock.elapsed())
             if all(holding.loading != model for holding in places):
                 return
+
+
+def _outcome(in_place: bool) -> str:
+    return 'in_place' if in_place else 'refused'
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -120,14 +120,8 @@
     while wanted:
         _, model = heappop(wanted)
         places = tuple(place_by_target.values())
-        if not count_by_model.get(model):
-            places = tuple(
-                _with_room(terms.models_by_name[model], places, terms)
-            )
-        elif not _may_relieve(model, demand, count_by_model):
-            continue
-        move = _best(model, places, terms, demand, count_by_model)
-        if move is None or not _pays(move, demand, count_by_model):
+        move = _paying_move(model, places, terms, demand, count_by_model)
+        if move is None:
             continue
         yield move
         place_by_target[move.target_id] = replace(
@@ -138,6 +132,28 @@
         heappush(wanted, (-_gain(model, demand, count_by_model), model))
 
 
+def _paying_move(
+    model: str,
+    places: tuple[Holding, ...],
+    terms: EngineTerms,
+    demand: Demand,
+    count_by_model: Mapping[str, int],
+) -> Move | None:
+    """Return a model's best move if it pays.
+
+    Only places that come into question are looked at: one look at all of
+    them for each model is too slow for a large fleet.
+    """
+    if not count_by_model.get(model):
+        places = tuple(_with_room(terms.models_by_name[model], places, terms))
+    elif not _may_relieve(model, demand, count_by_model):
+        return None
+    move = _best(model, places, terms, demand, count_by_model)
+    if move is None or not _pays(move, demand, count_by_model):
+        return None
+    return move
+
+
 def _best(
     model: str,
     holdings: Iterable[Holding],
--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -164,6 +164,8 @@
         route=job.route.name,
     )
     tools.metrics.observe('request', now - job.arrived_at)
+    if job.sent_at is not None:
+        tools.metrics.observe('queue', job.sent_at - job.arrived_at)
     first_at = job.first_event_at
     if first_at is not None:
         tools.metrics.observe('first_event', first_at - job.arrived_at)
--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -117,6 +117,7 @@
         answer: Answer,
         clock: Clock,
         log: Callable[..., None],
+        count: Callable[..., None],
     ) -> None:
         """Read nothing yet; `lead` names the gateway that reads for this."""
         self._read_store = read_store
@@ -124,6 +125,7 @@
         self._answer = answer
         self._clock = clock
         self._log = log
+        self._count = count
         self._topics: defaultdict[str, _Topic] = defaultdict(_Topic)
         self._lead_rests_until = timedelta()
 
@@ -139,12 +141,15 @@
         wait = patience.wait
         if link is not None and began_at >= self._lead_rests_until:
             reading = self._ask(link, topic, from_offset, patience)
+            by = 'store' if reading is None else 'peer'
+            self._count('reads_total', topic=topic, by=by)
             if reading is not None:
                 self._share(topic, reading.known_at, Success(reading.batch))
                 return Success(reading)
             wait = timedelta()
         else:
             self._clock.sleep(patience.pause)
+            self._count('reads_total', topic=topic, by='store')
         read_at = self._clock.elapsed()
         found = self._read_store(topic, from_offset, wait)
         self._share(topic, read_at, found)
--- a/libs/runtime/src/verbenamux_runtime/logs.py
+++ b/libs/runtime/src/verbenamux_runtime/logs.py
@@ -40,6 +40,7 @@
     def __init__(self, descriptor: int, lines_most: int = LINES_MOST) -> None:
         """Start empty."""
         self.dropped: Counter[str] = Counter()
+        self.dropped_since_start: Counter[str] = Counter()
         self._descriptor = descriptor
         self._lines_most = lines_most
         self._routine: deque[bytes] = deque()
@@ -78,6 +79,7 @@
         queue = self._routine or self._notable
         queue.popleft()
         self.dropped[kind] += 1
+        self.dropped_since_start[kind] += 1
 
     def _is_ready(self) -> bool:
         return bool(select.select((), (self._descriptor,), (), 0)[1])
@@ -109,8 +111,11 @@
     logger.opt(raw=True).error('{}\n', _encoder.encode(line).decode())
 
 
-def configure_logs() -> None:
-    """Send this process's log lines to standard output, never blocking."""
+def configure_logs() -> LineRing:
+    """Send this process's log lines to standard output, never blocking.
+
+    Returns the ring that holds them until they are written.
+    """
     ring = LineRing(sys.stdout.fileno())
 
     def put(message: Any) -> None:
@@ -121,6 +126,7 @@
     logger.add(put, format='{message}', backtrace=False, catch=False)
     atexit.register(ring.flush)
     gevent.spawn(_flush_for_ever, ring)
+    return ring
 
 
 def _flush_for_ever(ring: LineRing) -> None:
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -188,6 +188,7 @@
                 lambda _target: None,
                 clock,
                 self.log,
+                lambda name, **labels: None,
                 demand.current,
             ),
             demand=demand,
--- a/tests/relay/test_sharing.py
+++ b/tests/relay/test_sharing.py
@@ -79,6 +79,7 @@
             lambda _sender, reply: self.replies.append(reply),
             clock,
             lambda event, **fields: None,
+            lambda name, **labels: None,
         )
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -279,7 +279,8 @@
 def withdraw(injector, step):
     """Take a key away, and hand another one out."""
     world = injector.world
-    key = f'doomed-{world.version}'
+    # Unlike any key before: the first one is doomed-1.
+    key = f'doomed-by-{world.version + 1}'
     doomed = [name for name in world.keys if name.startswith('doomed')]
     for name in doomed:
         world.keys.pop(name)
--- a/tests/soak/test_checking.py
+++ b/tests/soak/test_checking.py
@@ -1,12 +1,13 @@
 """Each check of the soak finds what breaks its promise."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
 from soak import checking
 from soak.evidence import Attempt, Evidence, Stop, Trouble
-from soak.faults import ACTIONS, NAMES_BY_KIND, draw
+from soak.faults import ACTIONS, NAMES_BY_KIND, draw, withdraw
 from soak.targets import Run, proof_of, whole_answer
 
 SENT = Attempt('1', 'order', 'kept', 'w1', 'gateway-1', 100.0, 100.1)
@@ -111,3 +112,20 @@
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
     assert ACTIONS.keys() == NAMES_BY_KIND.keys()
+
+
+def test_a_withdrawn_key_is_never_handed_out_again():
+    """A seed's finding: the first key withdrawn was the one handed out."""
+    put = []
+    world = SimpleNamespace(
+        version=1,
+        keys={'kept': 'w1', 'doomed-1': 'w1'},
+        all_keys={},
+        put_config=lambda: put.append(dict(world.keys)) or 5.0,
+    )
+    made = Evidence()
+    injector = SimpleNamespace(world=world, evidence=made)
+    withdraw(injector, None)
+    assert made.key_withdrawn_at == {'doomed-1': 5.0}
+    assert 'doomed-1' not in put[0]
+    assert len(put[0]) == 2
