--- a/tests/soak/checking.py
+++ b/tests/soak/checking.py
@@ -89,6 +89,12 @@
             yield f'{run.request_id} ran for {run.workspace!r}'
 
 
+def keys_reach_no_target(evidence: Evidence) -> Iterator[str]:
+    """A caller's key is not passed on."""
+    if 'HTTP_AUTHORIZATION' in evidence.book.fields:
+        yield 'a target saw the field that names a key'
+
+
 def withdrawn_keys_open_nothing(evidence: Evidence) -> Iterator[str]:
     """No request with a withdrawn key runs, whoever is out of touch."""
     runs = _runs_by_request(evidence)
@@ -291,6 +297,7 @@
     refused_never_ran,
     answers_are_the_targets,
     workspaces_are_told,
+    keys_reach_no_target,
     withdrawn_keys_open_nothing,
     gateways_in_touch_trust_keys,
     routes_follow_the_configuration,
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -38,6 +38,7 @@
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
     orders: list[tuple[float, str, dict]] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    fields: set[str] = field(default_factory=set)
 
 
 def whole_answer(request_id):
@@ -97,6 +98,7 @@
             start('200 OK', [('Instance-Id', self.instance)])
             return [b'']
         request_id = environ.get('HTTP_ATTEMPT_ID', '')
+        self.book.fields.update(environ)
         expected = environ.get('HTTP_EXPECTED_INSTANCE')
         self.book.arrivals.append((self.now(), request_id, self.instance))
         environ['wsgi.input'].read()
--- a/tests/soak/test_checking.py
+++ b/tests/soak/test_checking.py
@@ -95,12 +95,14 @@
     assert not checking.violations(made)
 
 
-def test_an_overrun_engine_and_an_old_token_are_found():
+def test_an_overrun_engine_an_old_token_and_a_key_are_found():
     made = orders(('keeper-1', 4), ('keeper-1', 3))
     made.book.crashes.append('engine-1 was overrun')
+    made.book.fields.add('HTTP_AUTHORIZATION')
     assert names(checking.violations(made)) == {
         'engines_have_one_holder',
         'engines_are_not_overrun',
+        'keys_reach_no_target',
     }
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -81,7 +81,8 @@
         block = ('gateway', 'keeper', 'plain').index(kind)
         return f'{self.net}.{block}.{number}'
 
-    def start(self):
+    def start(self, programs=(*KEEPERS, *GATEWAYS)):
+        """Start everything, and the programs named."""
         self.start_store()
         for name in PLAINS:
             address = f'{self.host(name)}:{APP_PORT}'
@@ -98,11 +99,12 @@
         self.relay.start()
         self.put_config()
         self.beating = gevent.spawn(self.beat)
-        for name in (*KEEPERS, *GATEWAYS):
+        for name in programs:
             self.programs[name] = self.prepare(name)
             self.programs[name].start()
+        gateways = [name for name in programs if name in GATEWAYS]
         with gevent.Timeout(30):
-            while not all(map(self.is_ready, GATEWAYS)):
+            while not all(map(self.is_ready, gateways)):
                 gevent.sleep(0.1)
 
     def start_store(self):
