--- /dev/null
+++ b/libs/keeper/src/verbenamux_keeper/holding.py
@@ -0,0 +1,48 @@
+"""What an engine holds, and what it has room for."""
+
+from verbenamux_contracts.messages import EngineNotice
+from verbenamux_keeper.engine import EngineState, OrderKind
+
+
+def fits(model: str, engine: EngineState, notice: EngineNotice) -> bool:
+    """Tell whether an engine has room for one more model.
+
+    A model whose size is not known takes all the room.
+    """
+    size_by_model = {size.name: size.weights_mb for size in notice.models}
+    taken = sum(
+        size_by_model.get(held, notice.weights_mb)
+        for held in engine.models | models_of(engine.pending)
+    )
+    wanted = size_by_model.get(model, notice.weights_mb + 1)
+    return taken + wanted <= notice.weights_mb
+
+
+def is_cold(model: str, engine: EngineState) -> bool:
+    """Tell whether a load of the model would ask the weight store."""
+    return model not in engine.on_disk | engine.in_memory
+
+
+def models_of(pending: frozenset[str]) -> frozenset[str]:
+    """Return the models among pending models and adapters."""
+    return frozenset(name for name in pending if '/' not in name)
+
+
+def without_versions(pending: frozenset[str]) -> frozenset[str]:
+    """Return pending adapters without their versions."""
+    return frozenset(name.partition('@')[0] for name in pending)
+
+
+def is_done(
+    engine: EngineState,
+    kind: OrderKind,
+    model: str,
+    adapter: str | None,
+) -> bool:
+    """Tell whether the engine is as an order wants it to be."""
+    held = (
+        model in engine.models
+        if adapter is None
+        else f'{model}/{adapter}' in engine.adapters
+    )
+    return held is (kind is OrderKind.LOAD)
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 
 import gevent
-import msgspec
 from gevent.lock import RLock
 
 from verbenamux_contracts.clock import Clock, to_milliseconds
@@ -15,7 +14,6 @@
     AnyMessage,
     EngineNotice,
     KeeperHello,
-    KeeperLoad,
     KeeperReport,
     LoadReply,
     ModelAsk,
@@ -27,21 +25,20 @@
     OrderAnswer,
     OrderKind,
 )
+from verbenamux_keeper.holding import (
+    fits,
+    is_cold,
+    is_done,
+    models_of,
+    without_versions,
+)
 from verbenamux_keeper.pacing import StorePace
+from verbenamux_keeper.reporting import Reporter, Send
 
 # The engine is read this often, and faster while an order is carried out.
 READ_PERIOD = timedelta(milliseconds=150)
 ORDER_PERIOD = timedelta(milliseconds=40)
 ADAPTER_PERIOD = timedelta(milliseconds=4)
-# Reports whose counts alone changed go out no more often than this, in a
-# small fleet.
-REPORT_PERIOD = timedelta(milliseconds=150)
-# From this many gateways on they go out less often in proportion.
-REPORT_GATEWAYS = 10
-# Reports that say nothing new go out this often.
-IDLE_REPORT_PERIOD = timedelta(milliseconds=500)
-# A gateway that has not said hello for this long gets no reports.
-SUBSCRIBER_SILENCE = timedelta(seconds=8)
 # An order is given up after so long, and a model's load altogether.
 ORDER_MOST = timedelta(seconds=4)
 MODEL_MOST = timedelta(seconds=20)
@@ -59,8 +56,6 @@
 
 TAKEN_ANSWERS = frozenset((OrderAnswer.ACCEPTED, OrderAnswer.HOLDS))
 
-Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
-
 
 def _count_nothing(_name: str, **_labels: str) -> None:
     """Stand for metrics where nobody reads any."""
@@ -86,7 +81,6 @@
     ordering: str | None = None
     ordered_at: timedelta = timedelta()
     adapters_waiting: int = 0
-    subscribers: dict[bytes, timedelta] = field(default_factory=dict)
     used_at_by_adapter: dict[str, timedelta] = field(default_factory=dict)
     loaded_at_by_model: dict[str, timedelta] = field(default_factory=dict)
 
@@ -111,13 +105,11 @@
         self._pace = pace
         self._clock = clock
         self._send = send
+        self._reporter = Reporter(clock, send)
         self._log = log
         self._count = count
         self._models_lock = RLock()
         self._orders_lock = RLock()
-        self._told: KeeperReport | None = None
-        self._told_at = timedelta()
-        self._revision = 0
 
     def receive(self, sender: bytes, message: AnyMessage) -> None:
         """Take in a gateway's message; asks are carried out in tasks."""
@@ -164,48 +156,14 @@
         return read
 
     def tell(self) -> None:
-        """Send a report when something changed, or one is due."""
-        if self.state.engine is None or self.state.target_id is None:
-            return
-        report = self._report()
-        now = self._clock.elapsed()
-        silence = now - self._told_at
-        told = self._told
-        if told is None or _holding(report) != _holding(told):
-            self._revision += 1
-            report = msgspec.structs.replace(report, revision=self._revision)
-            self._publish(report, report)
-        elif silence >= self._load_period(report, told):
-            self._publish(report, _load(report, told))
-
-    def _load_period(
-        self,
-        report: KeeperReport,
-        told: KeeperReport,
-    ) -> timedelta:
-        if _load(report, told) == _load(told, told):
-            return IDLE_REPORT_PERIOD
-        gateways = len(self.state.subscribers)
-        return REPORT_PERIOD * max(gateways / REPORT_GATEWAYS, 1)
-
-    def _publish(
-        self,
-        report: KeeperReport,
-        message: KeeperReport | KeeperLoad,
-    ) -> None:
-        """Send a message, which tells what is new in a report."""
-        now = self._clock.elapsed()
-        self._told = report
-        self._told_at = now
-        for sender, heard_at in tuple(self.state.subscribers.items()):
-            is_silent = now - heard_at > SUBSCRIBER_SILENCE
-            if is_silent or self._send(sender, message) is False:
-                self.state.subscribers.pop(sender)
+        """Tell gateways what changed, if it is due."""
+        if self.state.engine is not None and self.state.target_id is not None:
+            self._reporter.tell(self._report())
 
     def _report(self) -> KeeperReport:
         engine = self.state.engine or EngineState()
         notice = self.state.notice
-        pending = set(_models_of(engine.pending))
+        pending = set(models_of(engine.pending))
         if self.state.ordering is not None:
             pending.add(self.state.ordering)
         return KeeperReport(
@@ -226,7 +184,6 @@
             total_tokens=engine.total_tokens,
             is_ordering=engine.is_busy or self.state.ordering is not None,
             ordered_ms=self._ordered_ms(),
-            revision=self._revision,
             store_loads_ready=notice is not None
             and self._pace.is_ready(
                 notice.store_loads_per_second,
@@ -240,11 +197,8 @@
         return to_milliseconds(self._clock.elapsed() - self.state.ordered_at)
 
     def _greet(self, sender: bytes, hello: KeeperHello) -> None:
-        is_wanted = hello.wants_report or sender not in self.state.subscribers
-        self.state.subscribers[sender] = self._clock.elapsed()
-        if is_wanted and self.state.engine is not None:
-            self.tell()
-            self._send(sender, self._told or self._report())
+        self._reporter.subscribe(sender, wants_report=hello.wants_report)
+        self.tell()
 
     def _take_notice(self, notice: EngineNotice) -> None:
         known = self.state.notice
@@ -303,7 +257,7 @@
             notice.store_loads_per_second,
             notice.targets,
         )
-        if not is_paced and _is_cold(ask.model, engine):
+        if not is_paced and is_cold(ask.model, engine):
             return "this engine's part of the store's pace is spent"
         if any(map(self._has_just_come, ask.evict)):
             return 'a model that was to go has just come'
@@ -317,7 +271,7 @@
             return 'the engine is not known yet'
         if not fits(model, engine, notice):
             return 'the engine has no room'
-        if _is_cold(model, engine):
+        if is_cold(model, engine):
             self._pace.note_start()
         if not self._give(OrderKind.LOAD, model, None):
             return 'the engine did not take the order'
@@ -368,7 +322,7 @@
             return ''
         with self._orders_lock:
             engine = self.refresh() or engine
-            if wanted not in engine.adapters | _bare(engine.pending):
+            if wanted not in engine.adapters | without_versions(engine.pending):
                 cause = self._order_adapter(ask, engine, notice)
                 if cause:
                     return cause
@@ -459,7 +413,7 @@
         target_id = self.state.target_id
         if engine is None or token is None or target_id is None:
             return OrderAnswer.UNKNOWN
-        if _is_done(engine, kind, model, adapter):
+        if is_done(engine, kind, model, adapter):
             return OrderAnswer.HOLDS
         order = Order(kind, model, adapter, engine.orders_taken)
         answer = self._port.order(target_id, token, order)
@@ -498,73 +452,3 @@
                 return ''
             self._clock.sleep(period)
         return 'the engine did not finish the order in time'
-
-
-def fits(model: str, engine: EngineState, notice: EngineNotice) -> bool:
-    """Tell whether an engine has room for one more model.
-
-    A model whose size is not known takes all the room.
-    """
-    size_by_model = {size.name: size.weights_mb for size in notice.models}
-    taken = sum(
-        size_by_model.get(held, notice.weights_mb)
-        for held in engine.models | _models_of(engine.pending)
-    )
-    wanted = size_by_model.get(model, notice.weights_mb + 1)
-    return taken + wanted <= notice.weights_mb
-
-
-def _is_cold(model: str, engine: EngineState) -> bool:
-    return model not in engine.on_disk | engine.in_memory
-
-
-def _models_of(pending: frozenset[str]) -> frozenset[str]:
-    return frozenset(name for name in pending if '/' not in name)
-
-
-def _bare(pending: frozenset[str]) -> frozenset[str]:
-    """Return pending adapters without their versions."""
-    return frozenset(name.partition('@')[0] for name in pending)
-
-
-def _is_done(
-    engine: EngineState,
-    kind: OrderKind,
-    model: str,
-    adapter: str | None,
-) -> bool:
-    held = (
-        model in engine.models
-        if adapter is None
-        else f'{model}/{adapter}' in engine.adapters
-    )
-    return held is (kind is OrderKind.LOAD)
-
-
-def _load(report: KeeperReport, told: KeeperReport) -> KeeperLoad:
-    is_news = report.adapters != told.adapters
-    return KeeperLoad(
-        target_id=report.target_id,
-        revision=report.revision,
-        adapters=report.adapters if is_news else None,
-        unstarted=report.unstarted,
-        active=report.active,
-        used_tokens=report.used_tokens,
-    )
-
-
-def _holding(report: KeeperReport) -> KeeperReport:
-    """Return a report without what changes all the time.
-
-    These are the counts, and adapters: who asked for one hears of it anyway.
-    """
-    return msgspec.structs.replace(
-        report,
-        adapters=(),
-        ordered_ms=0,
-        revision=0,
-        unstarted=0,
-        active=0,
-        used_tokens=0,
-        total_tokens=0,
-    )
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -21,7 +21,8 @@
     OrderAnswer,
     OrderKind,
 )
-from verbenamux_keeper.keeper import EnginePlace, Keeper, fits
+from verbenamux_keeper.holding import fits
+from verbenamux_keeper.keeper import EnginePlace, Keeper
 from verbenamux_keeper.pacing import StorePace
 
 NOTICE = EngineNotice(
--- /dev/null
+++ b/tests/keeper/test_reporting.py
@@ -0,0 +1,86 @@
+"""What gateways are told of an engine, and how often."""
+
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from verbenamux_contracts.clock import ManualClock
+from verbenamux_contracts.messages import KeeperLoad, KeeperReport
+from verbenamux_keeper.reporting import SUBSCRIBER_SILENCE, Reporter
+
+REPORT = KeeperReport('engine', models=('m',), adapters=('m/a1',), active=3)
+TICK = timedelta(milliseconds=50)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def reporter(clock, sent):
+    made = Reporter(clock, lambda sender, told: sent.append((sender, told)))
+    made.subscribe(b'one', wants_report=False)
+    made.tell(REPORT)
+    return made
+
+
+def changed(**fields):
+    return msgspec.structs.replace(REPORT, **fields)
+
+
+def test_holdings_are_told_at_once_and_whole(reporter, sent):
+    reporter.tell(changed(models=('m', 'n')))
+    told = [message for _, message in sent]
+    assert [message.models for message in told] == [('m',), ('m', 'n')]
+    assert told[0].revision < told[1].revision
+
+
+def test_counts_and_adapters_are_told_later_and_alone(reporter, sent, clock):
+    """Adapters come and go with each second request."""
+    reporter.tell(changed(active=4, adapters=('m/a2',)))
+    assert len(sent) == 1
+    clock.advance(timedelta(milliseconds=150))
+    reporter.tell(changed(active=4, adapters=('m/a2',)))
+    _, load = sent[-1]
+    assert isinstance(load, KeeperLoad)
+    assert (load.active, load.adapters) == (4, ('m/a2',))
+    clock.advance(timedelta(seconds=1))
+    reporter.tell(changed(active=4, adapters=('m/a2',)))
+    assert sent[-1][1].adapters is None
+
+
+def test_many_gateways_are_told_less_often(clock, sent):
+    reporter = Reporter(clock, lambda sender, told: sent.append((sender, told)))
+    for number in range(30):
+        reporter.subscribe(b'%d' % number, wants_report=False)
+    reporter.tell(REPORT)
+    for active in range(40):
+        clock.advance(TICK)
+        reporter.tell(changed(active=active))
+    assert len(sent) <= 30 * 6
+
+
+@pytest.mark.parametrize('is_new', [True, False])
+def test_who_asks_gets_a_whole_report(reporter, sent, is_new):
+    reporter.subscribe(b'two' if is_new else b'one', wants_report=not is_new)
+    reporter.tell(REPORT)
+    sender, report = sent[-1]
+    assert sender == (b'two' if is_new else b'one')
+    assert report.models == ('m',)
+    assert report.revision == sent[0][1].revision
+
+
+def test_a_silent_gateway_is_told_no_more(reporter, sent, clock):
+    clock.advance(SUBSCRIBER_SILENCE + TICK)
+    reporter.tell(REPORT)
+    clock.advance(timedelta(seconds=1))
+    count = len(sent)
+    reporter.tell(REPORT)
+    assert len(sent) == count
