--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,54 +1,38 @@
 """A relaying gateway: what it believes, whom it tells, and its tasks."""
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
-from hashlib import blake2b
-from itertools import count
-
-import msgspec
 
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import (
     AnyMessage,
-    EngineNotice,
-    KeeperHello,
     KeeperLoad,
     KeeperReport,
-    Message,
-    ModelSize,
     ReadAsk,
     UsageNotice,
-    encode_message,
 )
 from verbenamux_http.client import parse_address
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.demand import DemandMeter
+from verbenamux_relay.keepers import KeeperPlace, Keepers, decode_report
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.peering import Member, Own, Peers
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
-from verbenamux_relay.targets import Target, TargetEntry, TargetReport
+from verbenamux_relay.targets import Target, TargetEntry
 from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
-from verbenamux_runtime.peers import PeerLink, PeerServer
+from verbenamux_runtime.peers import PeerServer
 
 # The planner looks for better places this often.
 PLAN_PERIOD = timedelta(milliseconds=400)
-# Keepers are greeted this often while they are silent, and every so many
-# times while they report.
-ENGINE_PERIOD = timedelta(milliseconds=250)
-GREETING_ROUNDS = 8
-# Gateways but the first tell a keeper only what it lacked for this long.
-INFORM_DELAY = timedelta(seconds=1)
-# Bytes that name the terms of an engine.
-TERMS_BYTES = 6
 # So many removed targets are remembered by name.
 REMOVED_MOST = 1000
 # Removed targets are kept this long for answers still under way.
@@ -97,11 +81,18 @@
             ),
             clock.elapsed,
         )
+        self.keepers = Keepers(
+            KeeperPlace(setup.instance, setup.keeper_port),
+            beliefs.book,
+            clock.elapsed,
+            is_first=self.peers.is_first,
+            hear=self._hear_keeper,
+        )
         self.allowance = Allowance(clock.elapsed, self.peers.silence_most)
         self.demand = DemandMeter(clock.elapsed)
         self.loader = Loader(
             book=beliefs.book,
-            link_of=self._keeper_link,
+            link_of=self.keepers.link_of,
             clock=clock,
             log=log,
             count=metrics.count,
@@ -113,12 +104,9 @@
         self._log = log
         self._catalog: Catalog | None = None
         self._confirmed_at: timedelta | None = None
-        self._keepers_by_host: dict[str, PeerLink] = {}
         self._budget_by_service: dict[str, RepeatBudget] = {}
-        self._uninformed_since: dict[str, timedelta] = {}
         self._moving: set[str] = set()
         self._removed_ids: OrderedDict[str, None] = OrderedDict()
-        self._rounds = count()
         self.is_stopping = False
 
     def adopt(self, catalog: Catalog) -> None:
@@ -134,8 +122,7 @@
             routes=sum(map(len, catalog.routes_by_host.values())),
             keys=len(catalog.workspaces_by_key),
         )
-        for target in tuple(self.beliefs.book.by_id.values()):
-            self._follow_keeper(target)
+        self.keepers.adopt(catalog)
 
     def confirm(self, asked_at: timedelta) -> None:
         """Note that the configuration was the newest at a moment."""
@@ -176,7 +163,7 @@
             )
         if target.report is None:
             target.absent_models.clear()
-        self._follow_keeper(target)
+        self.keepers.follow(target)
         self.loader.note_change()
 
     def remove_target(self, target_id: str) -> None:
@@ -212,47 +199,6 @@
         self.peers.tell(usage, is_leaving=self.is_stopping)
         self.allowance.note_told()
 
-    def tell_keepers(self) -> None:
-        """Greet keepers, and tell them what their engines may hold.
-
-        A keeper that restarted knows neither, so a silent one is greeted
-        with each call.
-        """
-        is_due = next(self._rounds) % GREETING_ROUNDS == 0
-        notice_by_service = self._engine_notices()
-        now = self._clock.elapsed()
-        for target in tuple(self.beliefs.book.by_id.values()):
-            is_silent = not target.report or target.has_silent_keeper(now)
-            if is_due or is_silent:
-                hello = KeeperHello(self.setup.instance, is_silent)
-                self._tell_keeper(target, hello)
-            notice = notice_by_service.get(target.entry.service)
-            if notice is not None:
-                self._inform(target, notice, now)
-
-    def _inform(
-        self,
-        target: Target,
-        notice: EngineNotice,
-        now: timedelta,
-    ) -> None:
-        """Tell a keeper what its engine may hold, if that is news to it.
-
-        Load pattern: configurations follow each other in many gateways. The
-        first one tells; others only where that came to nothing.
-        """
-        target_id = target.entry.target_id
-        if target.report is not None and target.report.terms == notice.terms:
-            self._uninformed_since.pop(target_id, None)
-            return
-        since = self._uninformed_since.setdefault(target_id, now)
-        if self.peers.is_first() or now - since >= INFORM_DELAY:
-            self._tell_keeper(target, notice)
-
-    def _tell_keeper(self, target: Target, message: Message) -> bool:
-        link = self._keeper_link(target.entry.target_id)
-        return link is not None and link.send(message)
-
     def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
         """Start the moves that bring models nearer to demand.
 
@@ -312,13 +258,7 @@
             if not target.in_flight:
                 self.beliefs.book.forget(target_id)
                 self.beliefs.prompts.forget(target_id)
-                self._uninformed_since.pop(target_id, None)
-        hosts = {
-            target.entry.address[0]
-            for target in self.beliefs.book.by_id.values()
-        }
-        for host in self._keepers_by_host.keys() - hosts:
-            self._keepers_by_host.pop(host).close()
+        self.keepers.sweep()
 
     def _carry_out(self, move: Move) -> None:
         try:
@@ -332,47 +272,9 @@
         known = self._catalog.services_by_name.get(service)
         return known.engine if known else None
 
-    def _engine_notices(self) -> dict[str, EngineNotice]:
-        """Return what keepers must know, by service."""
-        if self._catalog is None:
-            return {}
-        now = self._clock.elapsed()
-        serving = Counter(
-            target.entry.service
-            for target in self.beliefs.book.by_id.values()
-            if is_serving(target, now)
-        )
-        return {
-            service.name: _engine_notice(
-                self._catalog.version,
-                service.engine,
-                serving[service.name],
-            )
-            for service in self._catalog.services_by_name.values()
-            if service.engine is not None
-        }
-
-    def _follow_keeper(self, target: Target) -> None:
-        engine = self._engine_of(target.entry.service)
-        host = target.entry.address[0]
-        if engine is None or host in self._keepers_by_host:
-            return
-        link = PeerLink(
-            f'{host}:{self.setup.keeper_port}',
-            f'{self.setup.instance}>{host}',
-            self._hear_keeper,
-        )
-        self._keepers_by_host[host] = link
-
-    def _keeper_link(self, target_id: str) -> PeerLink | None:
-        target = self.beliefs.book.by_id.get(target_id)
-        if target is None:
-            return None
-        return self._keepers_by_host.get(target.entry.address[0])
-
     def _hear_keeper(self, message: AnyMessage) -> None:
         if isinstance(message, KeeperLoad):
-            self._hear_load(message)
+            self.keepers.take_load(message)
         if not isinstance(message, KeeperReport):
             return
         target = self.beliefs.book.by_id.get(message.target_id)
@@ -382,35 +284,12 @@
             return
         now = self._clock.elapsed()
         before = target.models
-        target.report = _decode_report(message, now)
+        target.report = decode_report(message, now)
         target.heard_at = now
         for model in before - target.report.models:
             self.beliefs.prompts.forget_model(message.target_id, model)
         self.loader.note_change()
 
-    def _hear_load(self, message: KeeperLoad) -> None:
-        target = self.beliefs.book.by_id.get(message.target_id)
-        if target is None or target.report is None:
-            return
-        if target.report.revision != message.revision:
-            # Its last report was lost on the way.
-            hello = KeeperHello(self.setup.instance, wants_report=True)
-            self._tell_keeper(target, hello)
-            return
-        now = self._clock.elapsed()
-        target.heard_at = now
-        adapters = message.adapters
-        target.report = replace(
-            target.report,
-            received_at=now,
-            adapters=target.report.adapters
-            if adapters is None
-            else frozenset(adapters),
-            unstarted=message.unstarted,
-            active=message.active,
-            used_tokens=message.used_tokens,
-        )
-
     def _introduce(self, message: KeeperReport) -> Target | None:
         """Take in a target by its keeper's word, ahead of the registry.
 
@@ -455,48 +334,3 @@
             notice.leaving,
         )
         self.demand.hear(notice.instance, usage)
-
-
-def _engine_notice(
-    version: int,
-    engine: EngineTerms,
-    targets: int,
-) -> EngineNotice:
-    notice = EngineNotice(
-        version=0,
-        models=tuple(
-            ModelSize(model.name, model.weights_mb)
-            for model in engine.models_by_name.values()
-        ),
-        weights_mb=engine.weights_mb,
-        adapter_places=engine.adapter_places,
-        store_loads_per_second=engine.store_loads_per_second,
-        targets=targets,
-    )
-    digest = blake2b(encode_message(notice), digest_size=TERMS_BYTES)
-    return msgspec.structs.replace(
-        notice,
-        version=version,
-        terms=digest.hexdigest(),
-    )
-
-
-def _decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
-    return TargetReport(
-        target_id=message.target_id,
-        received_at=now,
-        models=frozenset(message.models),
-        adapters=frozenset(message.adapters),
-        pending=frozenset(message.pending),
-        on_disk=frozenset(message.on_disk),
-        in_memory=frozenset(message.in_memory),
-        unstarted=message.unstarted,
-        active=message.active,
-        used_tokens=message.used_tokens,
-        total_tokens=message.total_tokens,
-        is_ordering=message.is_ordering,
-        ordered_at=now - timedelta(milliseconds=message.ordered_ms),
-        revision=message.revision,
-        store_loads_ready=message.store_loads_ready,
-        terms=message.terms,
-    )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -0,0 +1,246 @@
+"""The keepers beside engines: links to them, greetings, and their word."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from hashlib import blake2b
+from itertools import count
+
+import msgspec
+
+from verbenamux_contracts.ids import InstanceId
+from verbenamux_contracts.messages import (
+    AnyMessage,
+    EngineNotice,
+    KeeperHello,
+    KeeperLoad,
+    KeeperReport,
+    Message,
+    ModelSize,
+    encode_message,
+)
+from verbenamux_relay.catalog import Catalog, EngineTerms
+from verbenamux_relay.picking import is_serving
+from verbenamux_relay.targets import Target, TargetBook, TargetReport
+from verbenamux_runtime.peers import PeerLink
+
+# Keepers are greeted this often while they are silent, and every so many
+# times while they report.
+ENGINE_PERIOD = timedelta(milliseconds=250)
+GREETING_ROUNDS = 8
+# Gateways but the first tell a keeper only what it lacked for this long.
+INFORM_DELAY = timedelta(seconds=1)
+# Bytes that name the terms of an engine.
+TERMS_BYTES = 6
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperPlace:
+    """Which run of a gateway asks, and where keepers listen."""
+
+    instance: InstanceId
+    port: int
+
+
+class Keepers:
+    """Links to the keepers of all engines, by the engine's host."""
+
+    def __init__(
+        self,
+        place: KeeperPlace,
+        book: TargetBook,
+        elapsed: Callable[[], timedelta],
+        *,
+        is_first: Callable[[], bool],
+        hear: Callable[[AnyMessage], None],
+    ) -> None:
+        """Start with no keeper known; `hear` gets what they say."""
+        self._place = place
+        self._book = book
+        self._elapsed = elapsed
+        self._is_first = is_first
+        self._hear = hear
+        self._catalog: Catalog | None = None
+        self._links_by_host: dict[str, PeerLink] = {}
+        self._uninformed_since: dict[str, timedelta] = {}
+        self._rounds = count()
+
+    def adopt(self, catalog: Catalog) -> None:
+        """Take in which services have engines."""
+        self._catalog = catalog
+        for target in tuple(self._book.by_id.values()):
+            self.follow(target)
+
+    def follow(self, target: Target) -> None:
+        """Keep a link to the keeper beside an engine."""
+        host = target.entry.address[0]
+        known = (
+            self._catalog.services_by_name.get(target.entry.service)
+            if self._catalog
+            else None
+        )
+        has_engine = known is not None and known.engine is not None
+        if has_engine and host not in self._links_by_host:
+            self._links_by_host[host] = PeerLink(
+                f'{host}:{self._place.port}',
+                f'{self._place.instance}>{host}',
+                self._hear,
+            )
+
+    def link_of(self, target_id: str) -> PeerLink | None:
+        """Return the link to the keeper of a target."""
+        target = self._book.by_id.get(target_id)
+        if target is None:
+            return None
+        return self._links_by_host.get(target.entry.address[0])
+
+    def sweep(self) -> None:
+        """Close the links to hosts that have no target any more."""
+        targets = self._book.by_id
+        hosts = {target.entry.address[0] for target in targets.values()}
+        for host in self._links_by_host.keys() - hosts:
+            self._links_by_host.pop(host).close()
+        for target_id in self._uninformed_since.keys() - targets.keys():
+            self._uninformed_since.pop(target_id)
+
+    def tell(self) -> None:
+        """Greet keepers, and tell them what their engines may hold.
+
+        A keeper that restarted knows neither, so a silent one is greeted
+        with each call.
+        """
+        is_due = next(self._rounds) % GREETING_ROUNDS == 0
+        notice_by_service = self._notices()
+        now = self._elapsed()
+        for target in tuple(self._book.by_id.values()):
+            is_silent = not target.report or target.has_silent_keeper(now)
+            if is_due or is_silent:
+                self._greet(target, wants_report=is_silent)
+            notice = notice_by_service.get(target.entry.service)
+            if notice is not None:
+                self._inform(target, notice, now)
+
+    def take_load(self, message: KeeperLoad) -> None:
+        """Take in counts; a report that was lost on the way is asked for."""
+        target = self._book.by_id.get(message.target_id)
+        if target is None or target.report is None:
+            return
+        if target.report.revision != message.revision:
+            self._greet(target, wants_report=True)
+            return
+        now = self._elapsed()
+        target.heard_at = now
+        target.report = _with_load(target.report, message, now)
+
+    def _greet(self, target: Target, *, wants_report: bool) -> None:
+        hello = KeeperHello(self._place.instance, wants_report)
+        self._send(target, hello)
+
+    def _inform(
+        self,
+        target: Target,
+        notice: EngineNotice,
+        now: timedelta,
+    ) -> None:
+        """Tell a keeper what its engine may hold, if that is news to it.
+
+        Load pattern: configurations follow each other in many gateways. The
+        first one tells; others only where that came to nothing.
+        """
+        target_id = target.entry.target_id
+        if target.report is not None and target.report.terms == notice.terms:
+            self._uninformed_since.pop(target_id, None)
+            return
+        since = self._uninformed_since.setdefault(target_id, now)
+        if self._is_first() or now - since >= INFORM_DELAY:
+            self._send(target, notice)
+
+    def _send(self, target: Target, message: Message) -> None:
+        link = self.link_of(target.entry.target_id)
+        if link is not None:
+            link.send(message)
+
+    def _notices(self) -> dict[str, EngineNotice]:
+        """Return what keepers must know, by service."""
+        if self._catalog is None:
+            return {}
+        now = self._elapsed()
+        serving = Counter(
+            target.entry.service
+            for target in self._book.by_id.values()
+            if is_serving(target, now)
+        )
+        return {
+            service.name: _engine_notice(
+                self._catalog.version,
+                service.engine,
+                serving[service.name],
+            )
+            for service in self._catalog.services_by_name.values()
+            if service.engine is not None
+        }
+
+
+def decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
+    """Return a keeper's report as a gateway keeps it."""
+    return TargetReport(
+        target_id=message.target_id,
+        received_at=now,
+        models=frozenset(message.models),
+        adapters=frozenset(message.adapters),
+        pending=frozenset(message.pending),
+        on_disk=frozenset(message.on_disk),
+        in_memory=frozenset(message.in_memory),
+        unstarted=message.unstarted,
+        active=message.active,
+        used_tokens=message.used_tokens,
+        total_tokens=message.total_tokens,
+        is_ordering=message.is_ordering,
+        ordered_at=now - timedelta(milliseconds=message.ordered_ms),
+        revision=message.revision,
+        store_loads_ready=message.store_loads_ready,
+        terms=message.terms,
+    )
+
+
+def _with_load(
+    report: TargetReport,
+    message: KeeperLoad,
+    now: timedelta,
+) -> TargetReport:
+    adapters = report.adapters
+    if message.adapters is not None:
+        adapters = frozenset(message.adapters)
+    return replace(
+        report,
+        received_at=now,
+        adapters=adapters,
+        unstarted=message.unstarted,
+        active=message.active,
+        used_tokens=message.used_tokens,
+    )
+
+
+def _engine_notice(
+    version: int,
+    engine: EngineTerms,
+    targets: int,
+) -> EngineNotice:
+    notice = EngineNotice(
+        version=0,
+        models=tuple(
+            ModelSize(model.name, model.weights_mb)
+            for model in engine.models_by_name.values()
+        ),
+        weights_mb=engine.weights_mb,
+        adapter_places=engine.adapter_places,
+        store_loads_per_second=engine.store_loads_per_second,
+        targets=targets,
+    )
+    digest = blake2b(encode_message(notice), digest_size=TERMS_BYTES)
+    return msgspec.structs.replace(
+        notice,
+        version=version,
+        terms=digest.hexdigest(),
+    )
