--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -181,9 +181,11 @@
 def store_forgets(injector, step):
     """Have the store drop the history of the topics."""
     for topic in ('keyed.servers', 'keyed.op', 'keyed.gateways'):
-        injector.world.store._call(
+        injector.world.ask_store(
             'POST',
-            f'/api/log-trim?topic={topic}&part=0&before=1000000',
+            '/api/log-trim',
+            topic,
+            before='1000000',
         )
     return (('store', False),)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,10 +25,10 @@
 from verbenamux_http.client import ConnectionPool, Outgoing, call
 from verbenamux_http.errors import ExchangeFailure
 from verbenamux_http.headers import Headers
-from verbenamux_platform.store import keyed_record, open_store
+from verbenamux_platform.store import LENGTH, keyed_record
 from verbenamux_standin.log import log_route
 from verbenamux_standin.relay import Cuts, Line, Relay
-from verbenamux_standin.web import Faults, make_application
+from verbenamux_standin.web import Faults, Request, make_application
 
 HOUR = timedelta(hours=1)
 SOON = timedelta(seconds=2)
@@ -108,10 +108,8 @@
                 gevent.sleep(0.1)
 
     def start_store(self):
-        application = make_application(
-            log_route(self.clock, HOUR),
-            self.faults,
-        )
+        self.route_store = log_route(self.clock, HOUR)
+        application = make_application(self.route_store, self.faults)
         address = (f'{self.net}.9.1', STORE_PORT)
         self.store_server = WSGIServer(
             address,
@@ -120,9 +118,6 @@
             error_log=None,
         )
         self.store_server.start()
-        self.store = open_store(
-            f'{address[0]}:{STORE_PORT}', SystemClock().elapsed
-        )
 
     def lines(self):
         """Yield the proxied ways: to the store, targets and gateways."""
@@ -169,16 +164,18 @@
     def put(self, topic, key, value):
         """Write a record as the platform would; return when it was kept."""
         encoded = b'' if value is None else json.dumps(value).encode()
-        self.direct_append(topic, keyed_record(key, encoded))
+        record = keyed_record(key, encoded)
+        # The operator and the targets reach the store whatever is wrong.
+        self.ask_store(
+            'POST', '/api/log-append', topic, LENGTH.pack(len(record)) + record
+        )
         return self.now()
 
-    def direct_append(self, topic, record):
-        # The operator and the targets reach the store whatever is down.
-        was_down, self.faults.down = self.faults.down, False
-        try:
-            assert self.store.append(topic, record).unwrap() >= 0
-        finally:
-            self.faults.down = was_down
+    def ask_store(self, method, path, topic, body=b'', **query):
+        """Call the store beside its faults."""
+        named = {'topic': topic, 'part': '0'} | query
+        reply = self.route_store(Request(method, path, named, {}, body))
+        assert reply.status == 200, reply
 
     def put_config(self):
         self.version += 1
