--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -19,9 +19,9 @@
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.demand import DemandMeter
-from verbenamux_relay.keepers import KeeperPlace, Keepers, decode_report
+from verbenamux_relay.keepers import Keepers, decode_report
 from verbenamux_relay.loading import Loader
-from verbenamux_relay.peering import Member, Own, Peers
+from verbenamux_relay.peering import Identity, Member, Peers
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
@@ -74,7 +74,7 @@
         self.beliefs = beliefs
         self.metrics = metrics
         self.peers = Peers(
-            Own(
+            Identity(
                 setup.name,
                 setup.instance,
                 Member(setup.peer_address, beliefs.data_centre),
@@ -82,7 +82,8 @@
             clock.elapsed,
         )
         self.keepers = Keepers(
-            KeeperPlace(setup.instance, setup.keeper_port),
+            setup.instance,
+            setup.keeper_port,
             beliefs.book,
             clock.elapsed,
             is_first=self.peers.is_first,
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from hashlib import blake2b
 from itertools import count
@@ -35,28 +35,26 @@
 TERMS_BYTES = 6
 
 
-@dataclass(frozen=True, slots=True)
-class KeeperPlace:
-    """Which run of a gateway asks, and where keepers listen."""
-
-    instance: InstanceId
-    port: int
-
-
 class Keepers:
     """Links to the keepers of all engines, by the engine's host."""
 
     def __init__(
         self,
-        place: KeeperPlace,
+        instance: InstanceId,
+        port: int,
         book: TargetBook,
         elapsed: Callable[[], timedelta],
         *,
         is_first: Callable[[], bool],
         hear: Callable[[AnyMessage], None],
     ) -> None:
-        """Start with no keeper known; `hear` gets what they say."""
-        self._place = place
+        """Start with no keeper known.
+
+        `instance` names this run of the gateway, `port` is where keepers
+        listen; `hear` gets what they say.
+        """
+        self._instance = instance
+        self._port = port
         self._book = book
         self._elapsed = elapsed
         self._is_first = is_first
@@ -83,8 +81,8 @@
         has_engine = known is not None and known.engine is not None
         if has_engine and host not in self._links_by_host:
             self._links_by_host[host] = PeerLink(
-                f'{host}:{self._place.port}',
-                f'{self._place.instance}>{host}',
+                f'{host}:{self._port}',
+                f'{self._instance}>{host}',
                 self._hear,
             )
 
@@ -134,7 +132,7 @@
         target.report = _with_load(target.report, message, now)
 
     def _greet(self, target: Target, *, wants_report: bool) -> None:
-        hello = KeeperHello(self._place.instance, wants_report)
+        hello = KeeperHello(self._instance, wants_report)
         self._send(target, hello)
 
     def _inform(
--- a/libs/relay/src/verbenamux_relay/peering.py
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Own:
+class Identity:
     """A gateway as its peers know it; `instance` names one run of it."""
 
     name: str
@@ -50,7 +50,7 @@
 class Peers:
     """Every other gateway that the store lists, by name."""
 
-    def __init__(self, own: Own, elapsed: Callable[[], timedelta]) -> None:
+    def __init__(self, own: Identity, elapsed: Callable[[], timedelta]) -> None:
         """Start with no other gateway known."""
         self._own = own
         self._elapsed = elapsed
--- a/libs/standin/src/verbenamux_standin/relay.py
+++ b/libs/standin/src/verbenamux_standin/relay.py
@@ -14,7 +14,7 @@
 READ_BYTES = 65536
 MILLISECONDS = 1000
 # A silent line looks this often whether it may pass on again.
-HELD_SECONDS = 0.025
+SILENT_SECONDS = 0.025
 # Lingering for no time makes a close a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -120,36 +120,37 @@
             self._copy,
             caller,
             callee,
-            lambda: self._hold(line.name, self.cuts.silent_to),
+            line.name,
+            lambda: self.cuts.silent_to,
         )
         back = spawn(
             self._copy,
             callee,
             caller,
-            lambda: self._hold(line.name, self.cuts.silent_from),
+            line.name,
+            lambda: self.cuts.silent_from,
         )
         joinall([towards, back])
         self.open_by_line[line.name] -= pair
 
-    def _hold(self, name: str, silent: tuple[str, ...]) -> float:
-        """Return for how many seconds a line holds what passes it."""
-        if name in silent:
-            return HELD_SECONDS
+    def _hold(self, name: str, silent: Callable[[], tuple[str, ...]]) -> None:
+        """Wait while a line is slow or silent in one direction."""
         delay_ms = self.cuts.delay_ms_by_line.get(name, self.cuts.delay_ms)
-        return delay_ms / MILLISECONDS
+        sleep(delay_ms / MILLISECONDS)
+        while name in silent():
+            sleep(SILENT_SECONDS)
 
     def _copy(
         self,
         source: socket.socket,
         sink: socket.socket,
-        hold: Callable[[], float],
+        name: str,
+        silent: Callable[[], tuple[str, ...]],
     ) -> None:
         # Either side may be cut at any time; both close below.
         with suppress(OSError):
             while piece := source.recv(READ_BYTES):
-                sleep(hold())
-                while hold() == HELD_SECONDS:
-                    sleep(HELD_SECONDS)
+                self._hold(name, silent)
                 sink.sendall(piece)
         _close(source)
         _close(sink)
--- a/tests/relay/test_keepers.py
+++ b/tests/relay/test_keepers.py
@@ -14,7 +14,6 @@
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.keepers import (
     INFORM_DELAY,
-    KeeperPlace,
     Keepers,
     decode_report,
 )
@@ -41,7 +40,8 @@
         self.book = TargetBook()
         self.link = Link()
         self.keepers = Keepers(
-            KeeperPlace('run-1', 1),
+            'run-1',
+            1,
             self.book,
             clock.elapsed,
             is_first=lambda: is_first,
--- a/tests/relay/test_peering.py
+++ b/tests/relay/test_peering.py
@@ -6,7 +6,7 @@
 
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_contracts.messages import UsageNotice
-from verbenamux_relay.peering import Member, Own, Peers
+from verbenamux_relay.peering import Identity, Member, Peers
 
 OWN = Member('127.0.0.1:1', 'here')
 
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def peers(clock):
-    made = Peers(Own('g2', 'g2-run', OWN), clock.elapsed)
+    made = Peers(Identity('g2', 'g2-run', OWN), clock.elapsed)
     made.set_members(
         {
             'g0': member(10, 'there'),
@@ -70,7 +70,7 @@
 @pytest.mark.parametrize('count', [1, 5, 27, 389])
 def test_peers_that_tell_in_time_are_never_silent(clock, count):
     """A large fleet tells less often; that is no silence."""
-    peers = Peers(Own('a', 'a-run', OWN), clock.elapsed)
+    peers = Peers(Identity('a', 'a-run', OWN), clock.elapsed)
     members = {f'g{number}': member(number) for number in range(count)}
     peers.set_members(members)
     assert peers.silence_most() > 2 * peers.usage_period()
