--- a/libs/gateway/src/verbenamux_gateway/planning.py
+++ b/libs/gateway/src/verbenamux_gateway/planning.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from verbenamux_admission.rendezvous import pick
 from verbenamux_config.entities import TargetKind
 from verbenamux_config.state import Configuration
 from verbenamux_contracts.clock import Clock
@@ -14,6 +13,7 @@
     DropModel,
     PlaceModel,
 )
+from verbenamux_contracts.rendezvous import pick
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.peering import PeerTable
 from verbenamux_gateway.settings import PlanningSettings
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -5,7 +5,7 @@
 
 from returns.pipeline import is_successful
 
-from verbenamux_admission.rendezvous import pick
+from verbenamux_contracts.rendezvous import pick
 from verbenamux_gateway.answers import encode_broken_request
 from verbenamux_gateway.gateway import Gateway
 from verbenamux_gateway.hosts import HostEntry, HostListClient, HostState
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -12,7 +12,6 @@
 from verbenamux_admission import book as records
 from verbenamux_admission.escrow import Escrow
 from verbenamux_admission.lease import HolderLease
-from verbenamux_admission.rendezvous import pick
 from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.ids import InstanceId, new_attempt_id
 from verbenamux_contracts.log import Log, LogFault
@@ -23,6 +22,7 @@
     LeasePromise,
     Message,
 )
+from verbenamux_contracts.rendezvous import pick
 from verbenamux_gateway.fleet import Fleet
 from verbenamux_gateway.peering import PeerTable
 from verbenamux_gateway.rates import EscrowGate
--- a/libs/relay/src/verbenamux_relay/catalog.py
+++ b/libs/relay/src/verbenamux_relay/catalog.py
@@ -78,10 +78,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A group of targets that answer the same requests."""
+    """A group of targets that answer the same requests.
+
+    A target takes at most `connections_most`, from all gateways together.
+    """
 
     name: str
-    health_path: str
     connections_most: int
     engine: EngineTerms | None = None
 
--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -7,11 +7,11 @@
 one only when the wait outweighs reading the prompt anew.
 """
 
-import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import lru_cache
+
+from verbenamux_contracts.rendezvous import pick, weight
 
 # Cost of a target's rate of failures: at a rate of one, this long.
 FAILURE_PENALTY = timedelta(seconds=3)
@@ -26,8 +26,6 @@
 # Wait at a target whose memory of tokens is full, a token over.
 FULL_MEMORY_WAIT = timedelta(milliseconds=0.02)
 KILOBYTE = 1000
-# Weights remembered: some hundred prompts at each of some dozen targets.
-WEIGHTS_KEPT = 8000
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,24 +79,12 @@
         options,
         key=lambda option: (
             cost(option),
-            -rendezvous_weight(affinity, option.target_id),
+            -weight(affinity, option.target_id),
         ),
         default=None,
     )
 
 
-@lru_cache(maxsize=WEIGHTS_KEPT)
-def rendezvous_weight(affinity: str, target_id: str) -> int:
-    """Return the same rank for a pair on every gateway."""
-    material = f'{affinity}\0{target_id}'.encode()
-    digest = hashlib.blake2b(material, digest_size=8).digest()
-    return int.from_bytes(digest, 'big')
-
-
 def preferred(affinity: str, target_ids: Iterable[str]) -> str | None:
     """Return the target that all gateways send an affinity to first."""
-    return max(
-        target_ids,
-        key=lambda target_id: rendezvous_weight(affinity, target_id),
-        default=None,
-    )
+    return next(iter(pick(affinity, target_ids, 1)), None)
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -112,6 +112,7 @@
         for target in beliefs.book.of_service(query.service.name)
         if is_serving(target, now)
         and target.entry.target_id not in query.excluded
+        and len(target.in_flight) < query.service.connections_most
     ]
     if not serving:
         return Lack.TARGET
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
 
+from verbenamux_contracts.rendezvous import weight
 from verbenamux_relay.catalog import EngineTerms, ModelTerms
-from verbenamux_relay.choosing import rendezvous_weight
 
 # A copy is added only where more than this many requests wait for each; one
 # from the weight store, which all targets share, only for more.
@@ -172,7 +172,7 @@
         (offer for offer in offers if offer is not None),
         key=lambda offer: (
             offer[0],
-            -rendezvous_weight(model, offer[1].target_id),
+            -weight(model, offer[1].target_id),
         ),
         default=None,
     )
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -144,7 +144,7 @@
             **({'attempts_most': 2} | route),
         )
         self.workspace = Workspace('w', frozenset(('key',)))
-        self.service = Service('service', '/health', 100)
+        self.service = Service('service', 100)
         self.allowance = Allowance(self.clock.elapsed)
         self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
 
@@ -430,7 +430,7 @@
     model = ModelTerms('m', 1, SECOND, SECOND, SECOND)
     engine = EngineTerms(1, 1, 1, 1, 1, {'m': model})
     world = World(FakeTarget(DONE))
-    world.service = Service('service', '/health', 1, engine)
+    world.service = Service('service', 1, engine)
     started = world.clock.elapsed()
     reply = world.ask({'Model': 'm'})
     assert reply.status == 503
--- a/tests/relay/test_keepers.py
+++ b/tests/relay/test_keepers.py
@@ -55,7 +55,7 @@
 
     def adopt(self, version, weights_mb=100.0):
         engine = EngineTerms(8, 1000, weights_mb, 2, 1.0, {})
-        service = Service('s', '/health', 10, engine)
+        service = Service('s', 10, engine)
         self.keepers.adopt(Catalog(version, {}, {'s': service}))
 
     def report(self, **fields):
