Let the store's stand-in turn one machine away, and act late; draw both in the soak

Seeds below 100 draw what they drew before, so that seeds that failed once still play the same faults; a test holds two of them to it.

--- a/libs/standin/src/verbenamux_standin/web.py
+++ b/libs/standin/src/verbenamux_standin/web.py
@@ -21,6 +21,7 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
+UNAVAILABLE = 503
 MILLISECONDS = 1000
 FAULTS_PATH = '/faults'
 
@@ -30,7 +31,10 @@
 
     `lose_answers` and `refuse` count down, one a request; `cross_answers`
     counts streams whose events carry another attempt's name; `slow_ms` is
-    added to the time of each token.
+    added to the time of each token. Requests that name one of
+    `refused_hosts` as their host get 503; so may one machine of many be
+    turned away. `act_late` counts down requests that get no answer and are
+    carried out `late_ms` later.
     """
 
     down: bool = False
@@ -42,6 +46,9 @@
     lose_orders: int = 0
     drop_cache_events: int = 0
     slow_ms: int = 0
+    refused_hosts: tuple[str, ...] = ()
+    act_late: int = 0
+    late_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +115,10 @@
 def _answer(route: Route, faults: Faults, request: Request) -> Reply:
     if faults.down:
         raise AnswerLostError
+    if request.header_by_name.get('host') in faults.refused_hosts:
+        return Reply(UNAVAILABLE)
+    if faults.act_late:
+        _act_late(route, faults, request)
     if faults.delay_ms:
         gevent.sleep(faults.delay_ms / MILLISECONDS)
     if faults.refuse:
@@ -120,6 +131,12 @@
     return reply
 
 
+def _act_late(route: Route, faults: Faults, request: Request) -> None:
+    faults.act_late -= 1
+    gevent.spawn_later(faults.late_ms / MILLISECONDS, route, request)
+    raise AnswerLostError
+
+
 def _guard(pieces: Iterable[bytes]) -> Iterator[bytes]:
     yield from pieces
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -117,3 +117,23 @@
     assert seen['b'] is None
     assert currents == sorted(currents)
     task.kill()
+
+
+def test_a_machine_that_is_turned_away_is_refused_and_others_served(
+    store,
+    faults,
+):
+    faults.refused_hosts = (f'{store._address[0]}:{store._address[1]}',)
+    assert store.append('topic', b'a').failure().fault is LogFault.REFUSED
+    faults.refused_hosts = ('127.0.0.9:1',)
+    assert store.append('topic', b'a').unwrap() == 0
+
+
+def test_a_call_that_is_carried_out_late_is_unanswered(store, faults):
+    faults.act_late = 1
+    faults.late_ms = 100
+    failure = store.append('topic', b'late').failure()
+    assert failure.fault is LogFault.UNANSWERED
+    assert store.read('topic', 0).unwrap().bodies == ()
+    gevent.sleep(0.3)
+    assert store.read('topic', 0).unwrap().bodies == (b'late',)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,7 +11,14 @@
 import gevent
 
 from soak.evidence import Stop, Trouble
-from soak.world import BOUNDS, GATEWAYS, KEEPERS, PLAINS, World
+from soak.world import (
+    BOUNDS,
+    GATEWAYS,
+    KEEPERS,
+    PLAINS,
+    STORE_PORT,
+    World,
+)
 from verbenamux_standin.relay import Cuts
 
 SECONDS = 16.0
@@ -34,21 +41,27 @@
 
 def draw(seed: int) -> list[Step]:
     """Return the faults of a seed, in order; several may overlap."""
+    names_by_kind = NAMES_BY_KIND
+    if seed >= FIRST_LATER_SEED:
+        names_by_kind = NAMES_BY_KIND | LATER_NAMES_BY_KIND
     random = Random(seed)
-    steps = []
-    for _ in range(random.randint(LEAST, MOST)):
-        kind = random.choice(tuple(NAMES_BY_KIND))
-        steps.append(
-            Step(
-                round(random.uniform(FIRST, LAST), 2),
-                round(random.uniform(SHORTEST, LONGEST), 2),
-                kind,
-                random.choice(NAMES_BY_KIND[kind]),
-            ),
-        )
+    steps = [
+        _draw_step(random, names_by_kind)
+        for _ in range(random.randint(LEAST, MOST))
+    ]
     return sorted(steps, key=lambda step: step.at)
 
 
+def _draw_step(random: Random, names_by_kind) -> Step:
+    kind = random.choice(tuple(names_by_kind))
+    return Step(
+        round(random.uniform(FIRST, LAST), 2),
+        round(random.uniform(SHORTEST, LONGEST), 2),
+        kind,
+        random.choice(names_by_kind[kind]),
+    )
+
+
 class Injector:
     """Carries out the steps of a run and writes them down."""
 
@@ -190,6 +203,26 @@
     return (('store', False),)
 
 
+def store_refuses(injector, step):
+    """Have the store turn one machine away and serve the others."""
+    faults = injector.world.faults
+    host = f'{injector.world.host(step.name)}:{STORE_PORT}'
+    faults.refused_hosts = (*faults.refused_hosts, host)
+    gevent.sleep(step.seconds)
+    faults.refused_hosts = tuple(
+        known for known in faults.refused_hosts if known != host
+    )
+    return ((f'store>{step.name}', False),)
+
+
+def store_acts_late(injector, step):
+    """Have the store carry some calls out late, without an answer."""
+    injector.world.faults.late_ms = 1500
+    injector.world.faults.act_late += 3
+    gevent.sleep(step.seconds)
+    return (('store', False),)
+
+
 def cut_line(field):
     """Return an action that cuts or silences one line."""
 
@@ -333,6 +366,12 @@
     'withdraw': ('store',),
     'move': ('store',),
 }
+# Kinds that came later; seeds from before draw as they did.
+LATER_NAMES_BY_KIND = {
+    'store_refuses': (*GATEWAYS, *KEEPERS),
+    'store_acts_late': ('store',),
+}
+FIRST_LATER_SEED = 100
 ACTIONS: dict[str, Callable] = {
     'pause': pause,
     'kill': kill,
@@ -342,6 +381,8 @@
     'store_slow': store_slow,
     'store_loses': store_loses,
     'store_forgets': store_forgets,
+    'store_refuses': store_refuses,
+    'store_acts_late': store_acts_late,
     'cut': cut_line('lines'),
     'silence_to': cut_line('silent_to'),
     'silence_from': cut_line('silent_from'),
--- a/tests/soak/test_checking.py
+++ b/tests/soak/test_checking.py
@@ -7,7 +7,13 @@
 
 from soak import checking
 from soak.evidence import Attempt, Evidence, Stop, Trouble
-from soak.faults import ACTIONS, NAMES_BY_KIND, draw, withdraw
+from soak.faults import (
+    ACTIONS,
+    LATER_NAMES_BY_KIND,
+    NAMES_BY_KIND,
+    draw,
+    withdraw,
+)
 from soak.targets import Run, proof_of, whole_answer
 
 SENT = Attempt('1', 'order', 'kept', 'w1', 'gateway-1', 100.0, 100.1)
@@ -113,7 +119,26 @@
 def test_a_seed_draws_the_same_faults_again():
     assert draw(7) == draw(7)
     assert draw(7) != draw(8)
-    assert ACTIONS.keys() == NAMES_BY_KIND.keys()
+    assert ACTIONS.keys() == NAMES_BY_KIND.keys() | LATER_NAMES_BY_KIND.keys()
+
+
+def test_seeds_that_failed_once_draw_what_they_drew_then():
+    first = draw(1)[0]
+    assert (first.at, first.kind, first.name) == (
+        1.76,
+        'silence_from',
+        'plain-1',
+    )
+    assert [step.kind for step in draw(11)] == [
+        'kill',
+        'leave',
+        'store_slow',
+        'fail',
+        'pause',
+        'slow',
+        'withdraw',
+        'reset',
+    ]
 
 
 def test_a_withdrawn_key_is_never_handed_out_again():
