Take ports for small fleets from below those that the system gives out

The log of agent-hire-ledger-0 has "Address already in use": its port was asked for with port 0, given up, and taken by another program's connection before the agent listened. Ruled out: the gateway and its engines, whose logs go on in order. Now ports come from 10,000 to 32,000, below what Linux gives out by itself; tests hold that.

--- a/libs/harness/src/verbenamux_harness/processes.py
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -1,5 +1,6 @@
 """Starting, killing, freezing and stopping processes by pid."""
 
+import random
 import signal
 import socket
 import subprocess
@@ -9,6 +10,8 @@
 from typing import IO
 
 STOP_SECONDS = 20
+# Below the range from which Linux gives out ports by itself.
+PORTS = range(10_000, 32_000)
 
 
 @dataclass(slots=True)
@@ -95,11 +98,25 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with ports that are free just now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
+    """Return loopback addresses with ports that are free just now.
+
+    No outgoing connection of another program takes them before they are
+    listened on: they lie below the ports that the system gives out.
+    """
+    sockets = [_bind_somewhere() for _ in range(count)]
     addresses = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
     for each in sockets:
         each.close()
     return addresses
+
+
+def _bind_somewhere() -> socket.socket:
+    while True:
+        bound = socket.socket()
+        try:
+            bound.bind(('127.0.0.1', random.choice(PORTS)))
+        except OSError:
+            # Somebody has this port; another one is tried.
+            bound.close()
+        else:
+            return bound
--- /dev/null
+++ b/tests/harness/test_processes.py
@@ -0,0 +1,24 @@
+"""Addresses for the processes of a small fleet."""
+
+import socket
+from pathlib import Path
+
+from verbenamux_harness.processes import PORTS, free_addresses
+
+
+def test_addresses_differ_and_lie_below_the_ports_given_out_by_the_system():
+    """Beside other programs a port was taken before it was listened on."""
+    addresses = free_addresses(60)
+    ports = [int(address.rpartition(':')[2]) for address in addresses]
+    assert len(set(ports)) == 60
+    assert set(ports) <= set(PORTS)
+    told = Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
+    first, _ = map(int, told.split())
+    assert max(PORTS) < first
+
+
+def test_a_port_in_use_is_passed_over():
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', int(free_addresses(1)[0].rpartition(':')[2])))
+        address = '{}:{}'.format(*taken.getsockname())
+        assert address not in free_addresses(200)
