Start programs with a copy of the environment

Cause: the harness starts programs from several threads with the live environment, which the test runner changes around each test; a start that reads it meanwhile fails with OSError 14. Ruled out: the way of forking (none of 9,450 starts failed with vfork beside threads that allocate and end; none of 1,968 with fork and the changes), load. Before: the new test fails; 400 of 2,781. After: passes; 0 of 2,696. The load tool's output now goes to a log of its own, and the soak's own kind of process with it.

--- a/libs/harness/src/verbenamux_harness/processes.py
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -1,14 +1,19 @@
 """Starting, killing, freezing and stopping processes by pid."""
 
+import os
 import random
 import signal
 import socket
 import subprocess
 import sys
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import IO
+from typing import IO, Final
 
+# A copy: a program started with the live environment reads it between two
+# of another thread's changes, and then may not start (OSError 14).
+ENVIRONMENT: Final[Mapping[str, str]] = dict(os.environ)
 STOP_SECONDS = 20
 # Below the range from which Linux gives out ports by itself.
 PORTS = range(10_000, 32_000)
@@ -21,13 +26,14 @@
     name: str
     command: list[str]
     log_path: Path
+    environment: Mapping[str, str] = field(default_factory=lambda: ENVIRONMENT)
     popen: subprocess.Popen[bytes] | None = None
     frozen: bool = False
 
     def start(self) -> None:
         """Start the process; its output goes to its log file."""
         with self.log_path.open('ab') as log_file:
-            self.popen = self._spawn(log_file)
+            self.popen = spawn(self.command, log_file, self.environment)
         self.frozen = False
 
     def kill(self) -> None:
@@ -79,19 +85,31 @@
         if self.running and self.popen is not None:
             self.popen.send_signal(number)
 
-    def _spawn(self, log_file: IO[bytes]) -> subprocess.Popen[bytes]:
-        return subprocess.Popen(
-            self.command,
-            stdin=subprocess.DEVNULL,
-            stdout=log_file,
-            stderr=log_file,
-        )
-
 
 class NotStartedError(Exception):
     """A process was used before it was started."""
 
 
+def spawn(
+    command: list[str],
+    output: IO[bytes] | int,
+    environment: Mapping[str, str] = ENVIRONMENT,
+) -> subprocess.Popen[bytes]:
+    """Start a program without input; all that it prints goes to `output`.
+
+    Errors:
+        OSError: the program is not there or may not be started.
+
+    """
+    return subprocess.Popen(
+        command,
+        env=environment,
+        stdin=subprocess.DEVNULL,
+        stdout=output,
+        stderr=output,
+    )
+
+
 def program(name: str) -> str:
     """Return the path of a console script beside this interpreter."""
     return str(Path(sys.executable).parent / name)
--- a/libs/harness/src/verbenamux_harness/runner.py
+++ b/libs/harness/src/verbenamux_harness/runner.py
@@ -1,7 +1,6 @@
 """Running one scenario: fleet, load, steps, evidence, verdict."""
 
 import fnmatch
-import subprocess
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -20,7 +19,7 @@
     MutantClause,
     Scenario,
 )
-from verbenamux_harness.processes import program
+from verbenamux_harness.processes import program, spawn
 from verbenamux_harness.shapes import SHAPE_BY_NAME, FleetShape
 from verbenamux_load.checker import Violation, find_violations
 from verbenamux_load.evidence import (
@@ -129,16 +128,15 @@
     plan.write_bytes(msgspec.json.encode(load_plan(scenario, fleet)))
     started = time.monotonic()
     stage = Stage(fleet, lambda: time.monotonic() - started)
-    load = subprocess.Popen(
-        [
-            program('verbenamux-load'),
-            'run',
-            str(plan),
-            '--history',
-            str(history),
-        ],
-        stdout=subprocess.DEVNULL,
-    )
+    command = [
+        program('verbenamux-load'),
+        'run',
+        str(plan),
+        '--history',
+        str(history),
+    ]
+    with (fleet.folder / 'load.log').open('ab') as log_file:
+        load = spawn(command, log_file)
     for step in sorted(scenario.steps, key=lambda step: step.at):
         time.sleep(max(0, step.at - stage.now()))
         stage.act(step)
--- a/tests/harness/test_processes.py
+++ b/tests/harness/test_processes.py
@@ -1,9 +1,16 @@
 """Addresses for the processes of a small fleet."""
 
+import os
 import socket
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from verbenamux_harness.processes import PORTS, free_addresses
+from verbenamux_harness.processes import PORTS, free_addresses, spawn
+
+PROGRAMS = 200
+VARIABLE = 'VERBENAMUX_CHANGED_BY_A_TEST'
 
 
 def test_addresses_differ_and_lie_below_the_ports_given_out_by_the_system():
@@ -22,3 +29,20 @@
         taken.bind(('127.0.0.1', int(free_addresses(1)[0].rpartition(':')[2])))
         address = '{}:{}'.format(*taken.getsockname())
         assert address not in free_addresses(200)
+
+
+def test_programs_start_while_another_thread_changes_the_environment():
+    """The test runner sets a variable around each test, starts go on beside.
+
+    A start that reads the live environment failed with OSError 14.
+    """
+    command = [sys.executable, '-S', '-c', '']
+    with ThreadPoolExecutor(4) as pool:
+        starts = [
+            pool.submit(spawn, command, subprocess.DEVNULL)
+            for _ in range(PROGRAMS)
+        ]
+        while not all(start.done() for start in starts):
+            os.environ[VARIABLE] = 'x' * 100
+            del os.environ[VARIABLE]
+    assert [start.result().wait() for start in starts] == [0] * PROGRAMS
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,8 +1,6 @@
 """A store, targets, proxies, and real gateways and keepers as processes."""
 
 import json
-import os
-import subprocess
 import sys
 from datetime import timedelta
 from pathlib import Path
@@ -21,7 +19,7 @@
     Plain,
 )
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_harness.processes import Process
+from verbenamux_harness.processes import ENVIRONMENT, Process
 from verbenamux_http.client import ConnectionPool, Outgoing, call
 from verbenamux_http.errors import ExchangeFailure
 from verbenamux_http.headers import Headers
@@ -154,11 +152,11 @@
         path = self.folder / f'{name}.yaml'
         path.write_text(json.dumps(settings))
         role = name.split('-')[0]
-        return SettledProcess(
+        return Process(
             name,
             [sys.executable, '-m', f'verbenamux_platform.run_{role}'],
             self.folder / f'{name}.log',
-            str(path),
+            {**ENVIRONMENT, 'VERBENAMUX_BOOT': str(path)},
         )
 
     def put(self, topic, key, value):
@@ -281,25 +279,6 @@
         return codes
 
 
-class SettledProcess(Process):
-    """A program that finds its settings as the platform hands them over."""
-
-    __slots__ = ('settings_path',)
-
-    def __init__(self, name, command, log_path, settings_path):
-        super().__init__(name, command, log_path)
-        self.settings_path = settings_path
-
-    def _spawn(self, log_file):
-        return subprocess.Popen(
-            self.command,
-            env=os.environ | {'VERBENAMUX_BOOT': self.settings_path},
-            stdin=subprocess.DEVNULL,
-            stdout=log_file,
-            stderr=log_file,
-        )
-
-
 def route(prefix, kind, service):
     """Return one route of the configuration."""
     return {
