--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from verbenamux_contracts.clock import Clock
 from verbenamux_contracts.ids import new_request_id
@@ -120,7 +120,7 @@
         count: Callable[..., None],
     ) -> None:
         """Read nothing yet; `lead` names the gateway that reads for this."""
-        self._read_store = read_store
+        self._read_directly = read_directly(read_store, clock)
         self._lead = lead
         self._answer = answer
         self._clock = clock
@@ -136,24 +136,19 @@
         patience: Patience,
     ) -> Result[Reading, LogFailure]:
         """Read records from an offset on, waiting a while for the first."""
-        began_at = self._clock.elapsed()
         link = self._lead()
-        wait = patience.wait
-        if link is not None and began_at >= self._lead_rests_until:
-            reading = self._ask(link, topic, from_offset, patience)
-            by = 'store' if reading is None else 'peer'
-            self._count('reads_total', topic=topic, by=by)
-            if reading is not None:
-                self._share(topic, reading.known_at, Success(reading.batch))
-                return Success(reading)
-            wait = timedelta()
-        else:
-            self._clock.sleep(patience.pause)
-            self._count('reads_total', topic=topic, by='store')
-        read_at = self._clock.elapsed()
-        found = self._read_store(topic, from_offset, wait)
-        self._share(topic, read_at, found)
-        return found.map(lambda batch: Reading(batch, read_at))
+        if link is not None and self._clock.elapsed() >= self._lead_rests_until:
+            asked = self._ask(link, topic, from_offset, patience)
+            if asked is not None:
+                self._count('reads_total', topic=topic, by='peer')
+                self._share(topic, Success(asked))
+                return Success(asked)
+            # The time to wait for news is spent.
+            patience = Patience(timedelta())
+        self._count('reads_total', topic=topic, by='store')
+        found = self._read_directly(topic, from_offset, patience)
+        self._share(topic, found)
+        return found
 
     def hear(self, sender: bytes, ask: ReadAsk) -> None:
         """Take in another gateway's ask, to be answered by the next read."""
@@ -195,23 +190,29 @@
     def _share(
         self,
         name: str,
-        known_at: timedelta | None,
-        found: Result[RecordBatch, LogFailure],
+        found: Result[Reading, LogFailure],
     ) -> None:
         """Answer all who wait; fresh for those who asked before the read."""
         topic = self._topics[name]
         asks = topic.asks
         topic.asks = []
-        if isinstance(found, Success):
-            topic.keep(found.unwrap())
+        reading = found.value_or(None)
+        if reading is not None:
+            topic.keep(reading.batch)
         for waiting in asks:
-            is_fresh = known_at is not None and waiting.came_at <= known_at
-            reply = (
-                ReadReply(waiting.ask.ask_id, found=False)
-                if isinstance(found, Failure)
-                else topic.answer(waiting.ask, is_fresh=is_fresh)
-            )
-            self._answer(waiting.sender, reply)
+            self._answer(waiting.sender, _reply(topic, waiting, reading))
+
+
+def _reply(
+    topic: _Topic,
+    waiting: _Waiting,
+    reading: Reading | None,
+) -> ReadReply:
+    if reading is None:
+        return ReadReply(waiting.ask.ask_id, found=False)
+    known_at = reading.known_at
+    is_fresh = known_at is not None and waiting.came_at <= known_at
+    return topic.answer(waiting.ask, is_fresh=is_fresh)
 
 
 def read_directly(read_store: ReadTopic, clock: Clock) -> ReadShared:
