--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -293,22 +293,17 @@
     return ((step.name, False),)
 
 
-def fail(injector, step):
-    """Have a target fail part of what it runs."""
-    target = injector.world.targets[step.name]
-    target.fail_share = 0.4
-    gevent.sleep(step.seconds)
-    target.fail_share = 0.0
-    return ((step.name, False),)
+def worsen(field, amount):
+    """Return an action by which a target works worse for a while."""
 
+    def action(injector, step):
+        target = injector.world.targets[step.name]
+        setattr(target, field, amount)
+        gevent.sleep(step.seconds)
+        setattr(target, field, 0.0)
+        return ((step.name, False),)
 
-def slow(injector, step):
-    """Have a target work slowly."""
-    target = injector.world.targets[step.name]
-    target.slow = 0.3
-    gevent.sleep(step.seconds)
-    target.slow = 0.0
-    return ((step.name, False),)
+    return action
 
 
 def withdraw(injector, step):
@@ -390,8 +385,8 @@
     'reset': reset_line,
     'crash': crash,
     'leave': leave,
-    'fail': fail,
-    'slow': slow,
+    'fail': worsen('fail_share', 0.4),
+    'slow': worsen('slow', 0.3),
     'withdraw': withdraw,
     'move': move,
 }
