Requests of an adapter meet at one target of all, others in their data centre

Cause: the first choice of a prompt was taken by hashing over the targets of all data centres, so three of four such prompts were drawn elsewhere; and an adapter that no target held was loaded wherever the caller's gateway was, up to once a data centre. Answers were not counted among the bytes that go to another data centre; a chat's answer has more of them than its prompt. Now prompts meet among local targets where the model is there; an adapter meets at one target of all, and a load elsewhere counts 80 ms.

--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -17,10 +17,13 @@
 FAILURE_PENALTY = timedelta(seconds=3)
 # An adapter that must be loaded first, with the message to the keeper.
 ADAPTER_LOAD = timedelta(milliseconds=25)
+# What loading an adapter anywhere but where its requests meet counts: two
+# orders and a place, and the adapter that was there must come back.
+ADAPTER_PENALTY = timedelta(milliseconds=80)
 # What a silent keeper counts against its target.
 UNWATCHED_PENALTY = timedelta(milliseconds=150)
 # What sending to another data centre costs against an equal local target,
-# and for each kilobyte sent there: such bytes are dear.
+# and for each kilobyte to and from there: such bytes are dear.
 REMOTE_PENALTY = timedelta(milliseconds=15)
 REMOTE_KILOBYTE = timedelta(milliseconds=7)
 # Wait at a target whose memory of tokens is full, a token over.
@@ -34,6 +37,8 @@
 
     `waiting_tokens` are prompt tokens to be read before this request's own
     `missing_tokens`; `tokens_per_second` is how fast it reads them.
+    `is_preferred` marks the target where requests of its kind meet.
+    `carried_bytes` are those of the request and of its answer, as expected.
     `overflow_tokens` is what would not fit its memory. `order_left` is how
     long the engine still loads a model and takes no order for an adapter.
     """
@@ -43,8 +48,9 @@
     waiting_tokens: float
     missing_tokens: int
     tokens_per_second: float
-    body_bytes: int = 0
+    carried_bytes: int = 0
     lacks_adapter: bool = False
+    is_preferred: bool = False
     order_left: timedelta = timedelta()
     is_unwatched: bool = False
     overflow_tokens: int = 0
@@ -66,8 +72,10 @@
     total = predict(option) + FAILURE_PENALTY * option.failure_rate
     if not option.is_local:
         total += REMOTE_PENALTY + REMOTE_KILOBYTE * (
-            option.body_bytes / KILOBYTE
+            option.carried_bytes / KILOBYTE
         )
+    if option.lacks_adapter and not option.is_preferred:
+        total += ADAPTER_PENALTY
     if option.is_unwatched:
         total += UNWATCHED_PENALTY
     return total + REMOTE_PENALTY * option.busy_share
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -9,7 +9,12 @@
 from verbenamux_relay.choosing import Option, choose, preferred
 from verbenamux_relay.placing import Holding, load_time
 from verbenamux_relay.prompts import PromptMemory, affinity
-from verbenamux_relay.targets import Target, TargetBook, TargetReport
+from verbenamux_relay.targets import (
+    Target,
+    TargetBook,
+    TargetEntry,
+    TargetReport,
+)
 from verbenamux_relay.terms import RequestTerms
 
 # Prompt tokens taken for a waiting request of which nothing else is known.
@@ -20,6 +25,8 @@
 PACE_LEAST = 4000.0
 PACE_MOST = 1_000_000.0
 PACE_WEIGHT = 0.1
+# Bytes of a stream for each token: events hold a few tokens and some framing.
+TOKEN_BYTES = 16
 # Work of a plain request before any was observed.
 TYPICAL_WORK = timedelta(milliseconds=80)
 # A model order under way takes at least this long still; the same where
@@ -134,7 +141,7 @@
     affinity_key = affinity(query.terms)
     first = preferred(
         affinity_key,
-        (target.entry.target_id for target in reachable or able),
+        _meeting_places(query.terms, reachable or able, beliefs.data_centre),
     )
     options = (
         _option(target, query, beliefs, now, first)
@@ -154,12 +161,12 @@
         if report is None or target.has_silent_keeper(now):
             continue
         if is_serving(target, now):
-            yield _holding(target.entry.target_id, report)
+            yield _holding(target.entry, report)
 
 
-def _holding(target_id: str, report: TargetReport) -> Holding:
+def _holding(entry: TargetEntry, report: TargetReport) -> Holding:
     return Holding(
-        target_id=target_id,
+        target_id=entry.target_id,
         models=report.models,
         on_disk=report.on_disk,
         in_memory=report.in_memory,
@@ -177,6 +184,26 @@
     return UNLOADING if report.is_ordering else None
 
 
+def _meeting_places(
+    terms: RequestTerms,
+    targets: list[Target],
+    data_centre: str,
+) -> list[str]:
+    """Return the targets among which requests of a kind meet at one.
+
+    Those of an adapter meet anywhere, as places for adapters are few; others
+    in their own data centre if the model is there.
+    """
+    local = [
+        target.entry.target_id
+        for target in targets
+        if target.entry.data_centre == data_centre
+    ]
+    if local and terms.adapter is None:
+        return local
+    return [target.entry.target_id for target in targets]
+
+
 def _may_hold_adapter(target: Target, terms: RequestTerms) -> bool:
     return terms.adapter is None or target.report is not None
 
@@ -193,10 +220,11 @@
     is_local = entry.data_centre == beliefs.data_centre
     if engine is None:
         return _plain_option(target, is_local, now)
+    is_preferred = entry.target_id == first
     missing = beliefs.prompts.missing(
         entry.target_id,
         query.terms,
-        is_preferred=entry.target_id == first,
+        is_preferred=is_preferred,
     )
     lacks_adapter = not target.holds(query.terms.model, query.terms.adapter)
     mine = sum(not sent.is_started for sent in target.in_flight.values())
@@ -204,11 +232,12 @@
     return Option(
         target_id=entry.target_id,
         is_local=is_local,
-        body_bytes=query.body_bytes,
+        carried_bytes=_carried_bytes(query),
         waiting_tokens=target.unstarted_tokens() + others * TYPICAL_TOKENS,
         missing_tokens=missing,
         tokens_per_second=beliefs.paces.of(query.terms.model),
         lacks_adapter=lacks_adapter,
+        is_preferred=is_preferred,
         order_left=_order_left(target, engine, now)
         if lacks_adapter
         else timedelta(),
@@ -219,6 +248,10 @@
     )
 
 
+def _carried_bytes(query: Query) -> int:
+    return query.body_bytes + query.terms.output_tokens * TOKEN_BYTES
+
+
 def _order_left(
     target: Target,
     engine: EngineTerms,
@@ -228,7 +261,7 @@
     report = target.report
     if report is None or not report.is_ordering:
         return timedelta()
-    holding = _holding(target.entry.target_id, report)
+    holding = _holding(target.entry, report)
     model = engine.models_by_name.get(holding.loading or UNLOADING)
     if model is None:
         return ORDER_LEAST
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -55,7 +55,7 @@
     'worse',
     [
         {'failure_rate': 0.4},
-        {'is_local': False, 'body_bytes': 18_000},
+        {'is_local': False, 'carried_bytes': 18_000},
         {'lacks_adapter': True},
         {'overflow_tokens': 20_000},
         {'is_unwatched': True},
