Keepers tell what changed, and messages go without their fields' names

Now a KeeperLoad names what changed since the revision it follows; a gateway that lacks that one asks for a whole report. Adapters told with counts raise the revision too: a hypothesis test found that a lost one was never told again.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -7,8 +7,8 @@
 from verbenamux_contracts.ids import AttemptId, InstanceId, RequestId
 
 
-class Message(msgspec.Struct, tag=True, frozen=True, omit_defaults=True):
-    """Base of everything sent between processes."""
+class Message(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """Base of everything sent between processes; encoded without names."""
 
 
 class Hello(Message, frozen=True):
@@ -344,7 +344,7 @@
     pace is spent. `terms` are those of the newest EngineNotice. `started_ms`
     is the Unix time of the engine's start, `ordered_ms` how long ago the
     model order under way was asked for.
-    `revision` counts the reports whose holdings changed.
+    `revision` counts the changes of holdings.
     """
 
     target_id: str
@@ -369,18 +369,26 @@
 
 
 class KeeperLoad(Message, frozen=True):
-    """A keeper tells that it lives and what its engine has to do.
+    """A keeper tells that it lives and what changed since it told last.
 
-    `adapters` are all that the engine holds, if that changed. All else is as
-    in the KeeperReport with the same `revision`.
+    What is None is as in the report of revision `follows`, and so is all
+    that a KeeperReport has besides. `ordered_ms` is news with any holding.
     """
 
     target_id: str
+    follows: int
     revision: int
-    adapters: tuple[str, ...] | None = None
     unstarted: int = 0
     active: int = 0
     used_tokens: int = 0
+    adapters: tuple[str, ...] | None = None
+    models: tuple[str, ...] | None = None
+    pending: tuple[str, ...] | None = None
+    on_disk: tuple[str, ...] | None = None
+    in_memory: tuple[str, ...] | None = None
+    is_ordering: bool | None = None
+    store_loads_ready: bool | None = None
+    ordered_ms: int = 0
 
 
 class ModelAsk(Message, frozen=True):
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -1,7 +1,7 @@
-"""Telling gateways of an engine: whole reports seldom, counts often.
+"""Telling gateways of an engine: whole reports seldom, changes often.
 
-Load pattern: dozens of gateways follow each engine, and its counts change
-all the time while its holdings rarely do.
+Load pattern: dozens of gateways follow each engine, mostly in other data
+centres. Its counts change all the time, and of its holdings some at a time.
 """
 
 from collections.abc import Callable
@@ -22,6 +22,16 @@
 # A gateway that has not said hello for this long gets no reports.
 SUBSCRIBER_SILENCE = timedelta(seconds=8)
 
+# What a change names only if it differs from what was told before.
+HOLDINGS = (
+    'models',
+    'pending',
+    'on_disk',
+    'in_memory',
+    'is_ordering',
+    'store_loads_ready',
+)
+
 Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
 
 
@@ -47,32 +57,35 @@
     def tell(self, report: KeeperReport) -> None:
         """Send what is new in a report, if that is due."""
         told = self._told
-        silence = self._clock.elapsed() - self._told_at
-        if told is None or _holding(report) != _holding(told):
+        if told is None or _frame(report) != _frame(told):
             self._revision += 1
-            report = msgspec.structs.replace(report, revision=self._revision)
-            self._publish(report, report)
+            self._publish(self._revised(report), None)
             return
-        report = msgspec.structs.replace(report, revision=self._revision)
-        if silence >= self._load_period(report, told):
-            self._publish(report, _load(report, told))
+        is_news = _holdings(report) != _holdings(told)
+        silence = self._clock.elapsed() - self._told_at
+        if is_news or silence >= self._load_period(report, told):
+            self._revision += is_news or report.adapters != told.adapters
+            told, before = self._revised(report), told
+            self._publish(told, _change(told, before))
         for sender in tuple(self._unserved):
             self._unserved.discard(sender)
-            self._send(sender, self._told or report)
+            self._send(sender, told)
 
-    def _publish(
-        self,
-        report: KeeperReport,
-        message: KeeperReport | KeeperLoad,
-    ) -> None:
+    def _revised(self, report: KeeperReport) -> KeeperReport:
+        return msgspec.structs.replace(report, revision=self._revision)
+
+    def _publish(self, report: KeeperReport, change: KeeperLoad | None) -> None:
+        """Send a change to all who know what it follows, or a whole report."""
         now = self._clock.elapsed()
         self._told = report
         self._told_at = now
-        if message is report:
+        if change is None:
             self._unserved.clear()
         for sender, heard_at in tuple(self._heard_at_by_sender.items()):
+            if sender in self._unserved:
+                continue
             is_silent = now - heard_at > SUBSCRIBER_SILENCE
-            if is_silent or self._send(sender, message) is False:
+            if is_silent or self._send(sender, change or report) is False:
                 self._heard_at_by_sender.pop(sender)
 
     def _load_period(
@@ -80,36 +93,46 @@
         report: KeeperReport,
         told: KeeperReport,
     ) -> timedelta:
-        if _load(report, told) == _load(told, told):
+        if _change(report, told) == _change(told, told):
             return IDLE_REPORT_PERIOD
         gateways = len(self._heard_at_by_sender)
         return REPORT_PERIOD * max(gateways / REPORT_GATEWAYS, 1)
 
 
-def _load(report: KeeperReport, told: KeeperReport) -> KeeperLoad:
-    is_news = report.adapters != told.adapters
+def _change(report: KeeperReport, told: KeeperReport) -> KeeperLoad:
+    """Return what differs from what was told; counts are always in it."""
+    news = {
+        name: getattr(report, name)
+        for name in ('adapters', *HOLDINGS)
+        if getattr(report, name) != getattr(told, name)
+    }
     return KeeperLoad(
         target_id=report.target_id,
+        follows=told.revision,
         revision=report.revision,
-        adapters=report.adapters if is_news else None,
         unstarted=report.unstarted,
         active=report.active,
         used_tokens=report.used_tokens,
+        ordered_ms=report.ordered_ms if news else 0,
+        **news,
     )
 
 
-def _holding(report: KeeperReport) -> KeeperReport:
-    """Return a report without what changes all the time.
+def _holdings(report: KeeperReport) -> tuple[object, ...]:
+    """Return what is told at once.
 
-    These are the counts, and adapters: who asked for one hears of it anyway.
+    Adapters are not: who asked for one hears of it anyway.
     """
+    return tuple(getattr(report, name) for name in HOLDINGS)
+
+
+def _frame(report: KeeperReport) -> KeeperReport:
+    """Return a report without what a change can tell."""
     return msgspec.structs.replace(
         report,
-        adapters=(),
-        ordered_ms=0,
-        revision=0,
-        unstarted=0,
-        active=0,
-        used_tokens=0,
-        total_tokens=0,
+        **dict.fromkeys(('models', 'adapters', 'pending'), ()),
+        **dict.fromkeys(('on_disk', 'in_memory'), ()),
+        **dict.fromkeys(('is_ordering', 'store_loads_ready'), False),
+        **dict.fromkeys(('revision', 'ordered_ms', 'unstarted'), 0),
+        **dict.fromkeys(('active', 'used_tokens'), 0),
     )
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -26,7 +26,7 @@
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
-from verbenamux_relay.targets import Target, TargetEntry
+from verbenamux_relay.targets import Target, TargetEntry, TargetReport
 from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
 from verbenamux_runtime.peers import PeerServer
@@ -274,22 +274,27 @@
         return known.engine if known else None
 
     def _hear_keeper(self, message: AnyMessage) -> None:
+        target_id = getattr(message, 'target_id', '')
+        target = self.beliefs.book.by_id.get(target_id)
         if isinstance(message, KeeperLoad):
-            self.keepers.take_load(message)
-        if not isinstance(message, KeeperReport):
+            report = self.keepers.with_changes(message)
+        elif isinstance(message, KeeperReport):
+            target = target or self._introduce(message)
+            report = decode_report(message, self._clock.elapsed())
+        else:
             return
-        target = self.beliefs.book.by_id.get(message.target_id)
-        if target is None:
-            target = self._introduce(message)
-        if target is None:
-            return
-        now = self._clock.elapsed()
+        if target is not None and report is not None:
+            self._take_report(target, report)
+
+    def _take_report(self, target: Target, report: TargetReport) -> None:
+        known = target.report
         before = target.models
-        target.report = decode_report(message, now)
-        target.heard_at = now
-        for model in before - target.report.models:
-            self.beliefs.prompts.forget_model(message.target_id, model)
-        self.loader.note_change()
+        target.report = report
+        target.heard_at = report.received_at
+        for model in before - report.models:
+            self.beliefs.prompts.forget_model(report.target_id, model)
+        if known is None or known.revision != report.revision:
+            self.loader.note_change()
 
     def _introduce(self, message: KeeperReport) -> Target | None:
         """Take in a target by its keeper's word, ahead of the registry.
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -119,17 +119,19 @@
             if notice is not None:
                 self._inform(target, notice, now)
 
-    def take_load(self, message: KeeperLoad) -> None:
-        """Take in counts; a report that was lost on the way is asked for."""
+    def with_changes(self, message: KeeperLoad) -> TargetReport | None:
+        """Return the known report with changes taken in.
+
+        None where the change follows on what was lost on the way: a whole
+        report is asked for.
+        """
         target = self._book.by_id.get(message.target_id)
         if target is None or target.report is None:
-            return
-        if target.report.revision != message.revision:
+            return None
+        if target.report.revision != message.follows:
             self._greet(target, wants_report=True)
-            return
-        now = self._elapsed()
-        target.heard_at = now
-        target.report = _with_load(target.report, message, now)
+            return None
+        return _with_changes(target.report, message, self._elapsed())
 
     def _greet(self, target: Target, *, wants_report: bool) -> None:
         hello = KeeperHello(self._instance, wants_report)
@@ -202,24 +204,46 @@
     )
 
 
-def _with_load(
+def _with_changes(
     report: TargetReport,
     message: KeeperLoad,
     now: timedelta,
 ) -> TargetReport:
-    adapters = report.adapters
-    if message.adapters is not None:
-        adapters = frozenset(message.adapters)
+    ordered_at = report.ordered_at
+    if message.revision != message.follows:
+        ordered_at = now - timedelta(milliseconds=message.ordered_ms)
     return replace(
         report,
         received_at=now,
-        adapters=adapters,
+        revision=message.revision,
         unstarted=message.unstarted,
         active=message.active,
         used_tokens=message.used_tokens,
+        ordered_at=ordered_at,
+        adapters=_newer(message.adapters, report.adapters),
+        models=_newer(message.models, report.models),
+        pending=_newer(message.pending, report.pending),
+        on_disk=_newer(message.on_disk, report.on_disk),
+        in_memory=_newer(message.in_memory, report.in_memory),
+        is_ordering=_flag(message.is_ordering, known=report.is_ordering),
+        store_loads_ready=_flag(
+            message.store_loads_ready,
+            known=report.store_loads_ready,
+        ),
     )
 
 
+def _newer(
+    names: tuple[str, ...] | None,
+    known: frozenset[str],
+) -> frozenset[str]:
+    return known if names is None else frozenset(names)
+
+
+def _flag(told: bool | None, *, known: bool) -> bool:
+    return known if told is None else told
+
+
 def _engine_notice(
     version: int,
     engine: EngineTerms,
