Keep prompts from engines whose streams they would hold up

A target's cost now counts, for each of its streams, part of the time that it would read beyond what goes unnoticed between two events. Ruled out: adapters and models not in place, which would show in the first event's time. The test replays two long prompts before a full and a calm engine.

--- a/libs/relay/src/verbenamux_relay/choosing.py
+++ b/libs/relay/src/verbenamux_relay/choosing.py
@@ -26,6 +26,11 @@
 # and for each kilobyte to and from there: such bytes are dear.
 REMOTE_PENALTY = timedelta(milliseconds=15)
 REMOTE_KILOBYTE = timedelta(milliseconds=7)
+# While an engine reads prompts, the streams that it answers go on slowly; so
+# much of it goes unnoticed between two events.
+READ_UNNOTICED = timedelta(milliseconds=200)
+# Part of the reading beyond that which counts for each stream held up.
+STALL_PART = 0.15
 # Wait at a target whose memory of tokens is full, a token over.
 FULL_MEMORY_WAIT = timedelta(milliseconds=0.02)
 KILOBYTE = 1000
@@ -56,12 +61,18 @@
     overflow_tokens: int = 0
     failure_rate: float = 0
     busy_share: float = 0
+    streams: int = 0
+
+
+def reading_time(option: Option) -> timedelta:
+    """Return how long a target reads prompts until this one is read."""
+    tokens = option.waiting_tokens + option.missing_tokens
+    return timedelta(seconds=tokens / option.tokens_per_second)
 
 
 def predict(option: Option) -> timedelta:
     """Return the predicted time to the first event."""
-    tokens = option.waiting_tokens + option.missing_tokens
-    predicted = timedelta(seconds=tokens / option.tokens_per_second)
+    predicted = reading_time(option)
     if option.lacks_adapter:
         predicted += option.order_left + ADAPTER_LOAD
     return predicted + FULL_MEMORY_WAIT * max(option.overflow_tokens, 0)
@@ -76,6 +87,8 @@
         )
     if option.lacks_adapter and not option.is_preferred:
         total += ADAPTER_PENALTY
+    reading = reading_time(option) - READ_UNNOTICED
+    total += max(reading, timedelta()) * STALL_PART * option.streams
     if option.is_unwatched:
         total += UNWATCHED_PENALTY
     return total + REMOTE_PENALTY * option.busy_share
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -245,6 +245,7 @@
         overflow_tokens=_overflow(target, query.terms, engine),
         failure_rate=target.failure_rate,
         busy_share=target.running(now) / max(entry.slots, 1),
+        streams=target.running(now),
     )
 
 
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -51,6 +51,23 @@
     assert choose((kept, idle), 'prompt') is idle
 
 
+def test_long_prompts_are_kept_from_engines_whose_streams_they_hold_up():
+    """A grown site's quiet day: 12 of 100 chats paused for too long.
+
+    Two long prompts in a row hold up every stream of an engine; another one
+    must read a little more, and holds up few.
+    """
+    full = option('full', waiting_tokens=9000, missing_tokens=9000, streams=12)
+    calm = option('calm', waiting_tokens=9000, missing_tokens=11000, streams=2)
+    assert choose((full, calm), 'prompt') is calm
+
+
+def test_streams_do_not_notice_a_short_prompt():
+    full = option('full', missing_tokens=3000, streams=12)
+    calm = option('calm', missing_tokens=4000, streams=2)
+    assert choose((full, calm), 'prompt') is full
+
+
 @pytest.mark.parametrize(
     'worse',
     [
