Keepers with nothing new beat each half second again

What takes a whole report, what is told at once and what a change names are lists of fields now; runs are forgotten by a function of that name.

--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -92,7 +92,7 @@
     ordered_at: timedelta = timedelta()
     adapters_waiting: int = 0
     used_at_by_adapter: dict[str, timedelta] = field(default_factory=dict)
-    use_by_request: dict[str, AdapterRun] = field(default_factory=dict)
+    run_by_request: dict[str, AdapterRun] = field(default_factory=dict)
     loaded_at_by_model: dict[str, timedelta] = field(default_factory=dict)
 
 
@@ -164,7 +164,7 @@
                 models=sorted(read.models),
             )
         self.state.engine = read
-        self._running_adapters(read)
+        self._forget_ended_runs(read)
         return read
 
     def tell(self) -> None:
@@ -223,23 +223,19 @@
     def _note_run(self, use: AdapterUse) -> None:
         adapter = f'{use.model}/{use.adapter}'
         self._note_use(adapter)
-        self.state.use_by_request[use.request_id] = AdapterRun(
+        self.state.run_by_request[use.request_id] = AdapterRun(
             adapter,
             self._clock.elapsed(),
         )
 
-    def _running_adapters(self, engine: EngineState) -> set[str]:
-        """Return the adapters of running requests, and forget what ended.
-
-        Until the report can show it, a request that was sent counts as well.
-        """
+    def _forget_ended_runs(self, engine: EngineState) -> None:
+        """Forget requests that do not run; what was just sent counts as run."""
         now = self._clock.elapsed()
-        use_by_request = self.state.use_by_request
-        for request_id, use in tuple(use_by_request.items()):
-            is_news = now - use.sent_at < RUN_NEWS
+        run_by_request = self.state.run_by_request
+        for request_id, run in tuple(run_by_request.items()):
+            is_news = now - run.sent_at < RUN_NEWS
             if not is_news and request_id not in engine.running_ids:
-                use_by_request.pop(request_id)
-        return {use.adapter for use in use_by_request.values()}
+                run_by_request.pop(request_id)
 
     def _answer_model(self, sender: bytes, ask: ModelAsk) -> None:
         with self._models_lock:
@@ -401,7 +397,7 @@
         One that requests run with is passed over: the engine would take no
         other order until they end.
         """
-        running = self._running_adapters(engine)
+        running = {run.adapter for run in self.state.run_by_request.values()}
         now = self._clock.elapsed()
         used_at = self.state.used_at_by_adapter
         never = timedelta.min
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -22,7 +22,18 @@
 # A gateway that has not said hello for this long gets no reports.
 SUBSCRIBER_SILENCE = timedelta(seconds=8)
 
-# What a change names only if it differs from what was told before.
+# A change tells nothing of these: it takes a whole report.
+FRAME = (
+    'target_id',
+    'started_ms',
+    'service',
+    'address',
+    'data_centre',
+    'terms',
+    'total_tokens',
+)
+# What is told as soon as it changes. Adapters are not: who asked for one
+# hears of it anyway.
 HOLDINGS = (
     'models',
     'pending',
@@ -31,6 +42,8 @@
     'is_ordering',
     'store_loads_ready',
 )
+# What a change names only if it differs from what was told before.
+NEWS = ('adapters', *HOLDINGS)
 
 Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
 
@@ -57,14 +70,15 @@
     def tell(self, report: KeeperReport) -> None:
         """Send what is new in a report, if that is due."""
         told = self._told
-        if told is None or _frame(report) != _frame(told):
+        if told is None or _differs(report, told, FRAME):
             self._revision += 1
             self._publish(self._revised(report), None)
             return
-        is_news = _holdings(report) != _holdings(told)
+        report = self._revised(report)
+        is_news = _differs(report, told, HOLDINGS)
         silence = self._clock.elapsed() - self._told_at
         if is_news or silence >= self._load_period(report, told):
-            self._revision += is_news or report.adapters != told.adapters
+            self._revision += _differs(report, told, NEWS)
             told, before = self._revised(report), told
             self._publish(told, _change(told, before))
         for sender in tuple(self._unserved):
@@ -103,7 +117,7 @@
     """Return what differs from what was told; counts are always in it."""
     news = {
         name: getattr(report, name)
-        for name in ('adapters', *HOLDINGS)
+        for name in NEWS
         if getattr(report, name) != getattr(told, name)
     }
     return KeeperLoad(
@@ -118,21 +132,9 @@
     )
 
 
-def _holdings(report: KeeperReport) -> tuple[object, ...]:
-    """Return what is told at once.
-
-    Adapters are not: who asked for one hears of it anyway.
-    """
-    return tuple(getattr(report, name) for name in HOLDINGS)
-
-
-def _frame(report: KeeperReport) -> KeeperReport:
-    """Return a report without what a change can tell."""
-    return msgspec.structs.replace(
-        report,
-        **dict.fromkeys(('models', 'adapters', 'pending'), ()),
-        **dict.fromkeys(('on_disk', 'in_memory'), ()),
-        **dict.fromkeys(('is_ordering', 'store_loads_ready'), False),
-        **dict.fromkeys(('revision', 'ordered_ms', 'unstarted'), 0),
-        **dict.fromkeys(('active', 'used_tokens'), 0),
-    )
+def _differs(
+    report: KeeperReport,
+    told: KeeperReport,
+    names: tuple[str, ...],
+) -> bool:
+    return any(getattr(report, name) != getattr(told, name) for name in names)
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -26,7 +26,7 @@
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
-from verbenamux_relay.targets import Target, TargetEntry, TargetReport
+from verbenamux_relay.targets import TargetEntry, TargetReport
 from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
 from verbenamux_runtime.peers import PeerServer
@@ -274,19 +274,21 @@
         return known.engine if known else None
 
     def _hear_keeper(self, message: AnyMessage) -> None:
-        target_id = getattr(message, 'target_id', '')
-        target = self.beliefs.book.by_id.get(target_id)
         if isinstance(message, KeeperLoad):
             report = self.keepers.with_changes(message)
         elif isinstance(message, KeeperReport):
-            target = target or self._introduce(message)
             report = decode_report(message, self._clock.elapsed())
+            if report.target_id not in self.beliefs.book.by_id:
+                self._introduce(message)
         else:
             return
-        if target is not None and report is not None:
-            self._take_report(target, report)
+        if report is not None:
+            self._take_report(report)
 
-    def _take_report(self, target: Target, report: TargetReport) -> None:
+    def _take_report(self, report: TargetReport) -> None:
+        target = self.beliefs.book.by_id.get(report.target_id)
+        if target is None:
+            return
         known = target.report
         before = target.models
         target.report = report
@@ -296,14 +298,14 @@
         if known is None or known.revision != report.revision:
             self.loader.note_change()
 
-    def _introduce(self, message: KeeperReport) -> Target | None:
+    def _introduce(self, message: KeeperReport) -> None:
         """Take in a target by its keeper's word, ahead of the registry.
 
         An engine that restarted has a new id at its old address.
         """
         engine = self._engine_of(message.service)
         if engine is None or message.target_id in self._removed_ids:
-            return None
+            return
         address = parse_address(message.address)
         for other in tuple(self.beliefs.book.by_id.values()):
             if other.entry.address == address:
@@ -319,7 +321,6 @@
                 started_ms=message.started_ms,
             ),
         )
-        return self.beliefs.book.by_id[message.target_id]
 
     def _hear(self, sender: bytes, message: AnyMessage) -> None:
         if isinstance(message, UsageNotice):
--- a/tests/keeper/test_reporting.py
+++ b/tests/keeper/test_reporting.py
@@ -7,7 +7,11 @@
 
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_contracts.messages import KeeperLoad, KeeperReport
-from verbenamux_keeper.reporting import SUBSCRIBER_SILENCE, Reporter
+from verbenamux_keeper.reporting import (
+    IDLE_REPORT_PERIOD,
+    SUBSCRIBER_SILENCE,
+    Reporter,
+)
 
 REPORT = KeeperReport('engine', models=('m',), adapters=('m/a1',), active=3)
 TICK = timedelta(milliseconds=50)
@@ -78,6 +82,16 @@
     assert len(sent) <= 30 * 6
 
 
+def test_reports_that_say_nothing_new_go_out_seldom(reporter, sent, clock):
+    """The age of an order under way alone is no news."""
+    reporter.tell(changed(models=('m', 'n'), ordered_ms=10))
+    sent.clear()
+    for ordered_ms in range(20, 120):
+        clock.advance(TICK)
+        reporter.tell(changed(models=('m', 'n'), ordered_ms=ordered_ms))
+    assert len(sent) == 100 * TICK / IDLE_REPORT_PERIOD
+
+
 @pytest.mark.parametrize('is_new', [True, False])
 def test_who_asks_gets_a_whole_report(reporter, sent, is_new):
     reporter.subscribe(b'two' if is_new else b'one', wants_report=not is_new)
