Give a test fleet no port that another one was given

Fleets start four at a time; ports were drawn at random from 22,000 and let go again until a process listened, so two fleets could draw the same one in between. Ruled out: load (the gateway ended at once); programs outside the tests can't be told from another fleet by the log, and take ports of that range only if they ask for them. Before: the new test finds the same address twice. After: ports are given out in one random order, each once in 22,000.

--- a/libs/harness/src/verbenamux_harness/processes.py
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from itertools import cycle
 from pathlib import Path
 from typing import IO, Final
 
@@ -17,6 +18,9 @@
 STOP_SECONDS = 20
 # Below the range from which Linux gives out ports by itself.
 PORTS = range(10_000, 32_000)
+# All ports in one random order: a port that was given out is given to nobody
+# else for long, though nobody listens on it yet.
+_PORTS_IN_TURN = cycle(random.sample(PORTS, len(PORTS)))
 
 
 @dataclass(slots=True)
@@ -132,7 +136,7 @@
     while True:
         bound = socket.socket()
         try:
-            bound.bind(('127.0.0.1', random.choice(PORTS)))
+            bound.bind(('127.0.0.1', next(_PORTS_IN_TURN)))
         except OSError:
             # Somebody has this port; another one is tried.
             bound.close()
--- a/tests/harness/test_processes.py
+++ b/tests/harness/test_processes.py
@@ -24,6 +24,14 @@
     assert max(PORTS) < first
 
 
+def test_fleets_that_start_together_get_different_addresses():
+    """A gateway's port was given to another fleet before it listened on it."""
+    with ThreadPoolExecutor(4) as pool:
+        fleets = list(pool.map(free_addresses, [20] * 100))
+    addresses = [address for fleet in fleets for address in fleet]
+    assert len(set(addresses)) == len(addresses)
+
+
 def test_a_port_in_use_is_passed_over():
     with socket.socket() as taken:
         taken.bind(('127.0.0.1', int(free_addresses(1)[0].rpartition(':')[2])))
