Log what each open request waits for as a gateway stops and ends

Cause of the change: 'stopped' counts the requests that a gateway ends on and names none, so logs can't tell a request that waits for a model from one that a target held. No logic changes.

Tests: the new line in tests/ctl/test_explaining.py.

--- a/libs/ctl/src/verbenamux_ctl/explaining.py
+++ b/libs/ctl/src/verbenamux_ctl/explaining.py
@@ -120,6 +120,16 @@
     return told
 
 
+def _tell_cut(line: Line) -> str:
+    return (
+        f'{line["instance"]} ended while the request was open, at the stage '
+        f'{line["stage"]}, {line["open_ms"]} ms after it came and '
+        f'{line["left_ms"]} ms before its deadline: {line["sends"]} sends '
+        f'reached a target, the last to {line["target"] or "none"}, '
+        f'{line["events"]} events went to the caller'
+    )
+
+
 def _because(cause: str) -> str:
     return f' ({cause})' if cause else ''
 
@@ -132,4 +142,5 @@
     'request_refused': _tell_early_refusal,
     'target_failed': _tell_target_failure,
     'request_ended': _tell_end,
+    'request_cut': _tell_cut,
 }
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -1,7 +1,12 @@
 """One caller's request on its way, and what is known of its runs."""
 
+import enum
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import count
 
 from verbenamux_http.parsing import Request
 from verbenamux_http.server import Reply
@@ -9,6 +14,16 @@
 from verbenamux_relay.terms import RequestTerms
 
 
+class Stage(enum.Enum):
+    """What an open request waits for."""
+
+    CHOOSING = 'choosing'
+    MODEL = 'waiting_for_model'
+    ADAPTER = 'waiting_for_adapter'
+    HEAD = 'waiting_for_head'
+    STREAM = 'streaming'
+
+
 @dataclass(slots=True)
 class Job:
     """A request with its terms; times are monotonic.
@@ -39,6 +54,15 @@
     target_id: str = ''
     cause: str = ''
     steps: list[str] = field(default_factory=list)
+    stage: Stage = Stage.CHOOSING
+
+    @contextmanager
+    def waiting_for(self, stage: Stage) -> Iterator[None]:
+        """Name the stage for as long as a step takes."""
+        self.stage = stage
+        yield
+        # A step that raises keeps its stage: it tells where the job ended.
+        self.stage = Stage.CHOOSING
 
     def time_left(self, now: timedelta) -> timedelta:
         """Return the time until the deadline."""
@@ -50,3 +74,30 @@
         if not self.runs:
             return True
         return self.route.is_repeatable and self.runs < self.route.attempts_most
+
+
+class OpenJobs:
+    """The requests that were admitted and have not ended."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._numbers = count()
+        self._by_number: dict[int, Job] = {}
+
+    @contextmanager
+    def counted(self, job: Job) -> Iterator[None]:
+        """Count a job as open for as long as it runs."""
+        number = next(self._numbers)
+        self._by_number[number] = job
+        try:
+            yield
+        finally:
+            self._by_number.pop(number)
+
+    def current(self) -> tuple[Job, ...]:
+        """Return the open jobs, the oldest first."""
+        return tuple(self._by_number.values())
+
+    def by_stage(self) -> Counter[str]:
+        """Return how many jobs are open in each stage."""
+        return Counter(job.stage.value for job in self._by_number.values())
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -19,7 +19,7 @@
 from verbenamux_relay.choosing import Option, predict
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.dialect import Refusal
-from verbenamux_relay.job import Job
+from verbenamux_relay.job import Job, OpenJobs, Stage
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.picking import Beliefs, Lack, Query, pick
 from verbenamux_relay.repeats import RepeatBudget
@@ -67,6 +67,7 @@
     demand: DemandMeter
     budget_of: Callable[[str], RepeatBudget]
     sequence: Iterator[int]
+    open_jobs: OpenJobs
 
     def now(self) -> timedelta:
         """Return the time since an arbitrary start."""
@@ -109,7 +110,7 @@
     except RequestRefusedError as refused:
         refuse_early(reply, terms, refused, settling)
         return
-    with _in_demand(job, tools.demand):
+    with tools.open_jobs.counted(job), _in_demand(job, tools.demand):
         _carry(job, tools)
 
 
@@ -248,7 +249,14 @@
     terms = job.terms
     model = terms.model or ''
     adapter = terms.adapter or ''
-    if tools.loader.load_adapter(target, model, adapter, option.order_left):
+    with job.waiting_for(Stage.ADAPTER):
+        is_loaded = tools.loader.load_adapter(
+            target,
+            model,
+            adapter,
+            option.order_left,
+        )
+    if is_loaded:
         return True
     job.excluded.add(target.entry.target_id)
     job.steps.append(f'no adapter at {target.entry.target_id}')
@@ -268,7 +276,8 @@
         job.steps.append('the model is not in place in time')
         job.expected_at = expected
         return False
-    tools.loader.await_model(job.service, model, allowed - now)
+    with job.waiting_for(Stage.MODEL):
+        tools.loader.await_model(job.service, model, allowed - now)
     return True
 
 
@@ -298,7 +307,10 @@
     )
     tools.loader.note_adapter_use(target, job.terms)
     sent = Send(job, target, in_flight, _rank(job), tools.sending)
-    with _counted(target, in_flight, tools.sequence):
+    with (
+        job.waiting_for(Stage.HEAD),
+        _counted(target, in_flight, tools.sequence),
+    ):
         outcome = send(sent)
     _learn(job, target, outcome, tools)
     return outcome
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -18,7 +18,7 @@
 from verbenamux_relay.catalog import RouteKind
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
 from verbenamux_relay.events import EventSplitter, StreamEvent
-from verbenamux_relay.job import Job
+from verbenamux_relay.job import Job, Stage
 from verbenamux_relay.targets import InFlight, Target
 
 # How long a new connection may take before another target is tried.
@@ -273,6 +273,7 @@
 def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
     job = sent.job
     if not sent.in_flight.is_started:
+        job.stage = Stage.STREAM
         sent.tools.on_first_event(job, sent.target, sent.in_flight)
     _start_reply(sent, head)
     job.reply.send_piece(event.encoded)
--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -176,6 +176,7 @@
         route=job.route.name,
         outcome=outcome,
         cause=job.cause,
+        stage=job.stage.value,
         model=job.terms.model_key,
         target=job.target_id,
         sends=job.sends,
@@ -188,3 +189,21 @@
         catalog_version=job.catalog.version,
         catalog_age_ms=to_milliseconds(known.confirmed_for),
     )
+
+
+def log_open(job: Job, tools: SettleTools) -> None:
+    """Log what a request waits for as the process ends on it."""
+    now = tools.clock.elapsed()
+    tools.log(
+        'request_cut',
+        request_id=job.terms.request_id,
+        route=job.route.name,
+        stage=job.stage.value,
+        target=job.target_id,
+        sends=job.sends,
+        runs=job.runs,
+        events=job.events,
+        steps=job.steps,
+        open_ms=to_milliseconds(now - job.arrived_at),
+        left_ms=to_milliseconds(job.time_left(now)),
+    )
--- a/tests/ctl/test_explaining.py
+++ b/tests/ctl/test_explaining.py
@@ -57,3 +57,19 @@
     assert 'ended as refused_502 (no answer for 0.4 s)' in told[1]
     assert 'steps: i-1: unknown no answer' in told[1]
     assert len(list(as_json(lines))) == 2
+
+
+CUT = """{"time":"t1","event":"request_cut","instance":"gateway-0",\
+"request_id":"id-8","route":"r","stage":"waiting_for_model","target":"",\
+"sends":0,"runs":0,"events":0,"steps":[],"open_ms":5300,"left_ms":6700}
+"""
+
+
+def test_a_request_that_a_process_ended_on_is_told_with_its_stage(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'gateway.log'
+    path.write_text(CUT)
+    (told,) = explain(read_lines(path, 'id-8'))
+    assert 'at the stage waiting_for_model, 5300 ms after it came' in told
+    assert '0 sends reached a target, the last to none' in told
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -27,6 +27,7 @@
     routes_by_host,
 )
 from verbenamux_relay.demand import DemandMeter
+from verbenamux_relay.job import OpenJobs
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.picking import Beliefs, PaceBook
 from verbenamux_relay.prompts import PromptMemory
@@ -194,6 +195,7 @@
             demand=demand,
             budget_of=lambda _service: self.budget,
             sequence=count(1),
+            open_jobs=OpenJobs(),
         )
 
     def ask(self, headers=(), key='key', body=b''):
