--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -48,6 +48,7 @@
     'ceiling_overage': 1.1,
 }
 TIMEOUT_MS = 4000
+OBJECTIVE_MS = 1000
 RATE, BURST = 30.0, 60.0
 
 
@@ -65,6 +66,8 @@
         self.keys = {'kept': 'w1', 'limited': 'w2', 'doomed-1': 'w1'}
         self.version = 0
         self.plain_service = 'ledger'
+        self.timeout_ms = TIMEOUT_MS
+        self.objective_ms = OBJECTIVE_MS
         self.targets = {}
         self.silent_targets = set()
         self.programs = {}
@@ -210,9 +213,12 @@
             for workspace in ('w1', 'w2')
         ]
         routes = [
-            route('/order/', 'non_idempotent', self.plain_service),
-            route('/look/', 'idempotent', self.plain_service),
-            route('/model/', 'streaming', 'engine'),
+            self.route(prefix, kind, service)
+            for prefix, kind, service in (
+                ('/order/', 'non_idempotent', self.plain_service),
+                ('/look/', 'idempotent', self.plain_service),
+                ('/model/', 'streaming', 'engine'),
+            )
         ]
         return {
             'version': self.version,
@@ -225,6 +231,20 @@
             'tenants': tenants,
         }
 
+    def route(self, prefix, kind, service):
+        """Return one route of the configuration."""
+        return {
+            'name': prefix.strip('/'),
+            'hostname': 'h',
+            'path_prefix': prefix,
+            'route_kind': kind,
+            'timeout_ms': self.timeout_ms,
+            'target_latency_ms': self.objective_ms,
+            'service': service,
+            'max_attempts': 2,
+            'resumable': kind == 'streaming',
+        }
+
     def entry(self, name, state='ready'):
         target = self.targets[name]
         held = getattr(target, 'adapters_by_model', {})
@@ -277,18 +297,3 @@
                 target.crash()
         self.store_server.stop(timeout=0)
         return codes
-
-
-def route(prefix, kind, service):
-    """Return one route of the configuration."""
-    return {
-        'name': prefix.strip('/'),
-        'hostname': 'h',
-        'path_prefix': prefix,
-        'route_kind': kind,
-        'timeout_ms': TIMEOUT_MS,
-        'target_latency_ms': 1000,
-        'service': service,
-        'max_attempts': 2,
-        'resumable': kind == 'streaming',
-    }
