Give every open request its final answer before a stopping gateway ends

Cause: a stop waited until all requests were answered or its time was over, and then the process ended, whatever was open. Nothing bounded the wait of a request by the stop: one that waited for a model went on for up to 85% of its caller's time, 10.2 s for safety-brief, against 7.5 s. The class of fault: a wait that knows the caller's deadline and not its own process's.

Change: a stop has a plan (relay/stopping.py). Requests wait for a model only if it is expected within half of the stop's time; others are refused at once as not run, with the shortest Retry-After, since another gateway can wait for as long as the caller does. Nothing is sent to a target in the second half. An eighth of the time before the end ListenerStopping is raised in the task of every open request: what has not run gets a 503, what may have run a 502, a stream's missing end tells the caller to resume elsewhere, and a request that is still arriving is refused as not run. It works for any stage, also those that no trace has shown.

New tests off the process in test_relaying.py and test_stopping.py.

--- a/libs/http/src/verbenamux_http/errors.py
+++ b/libs/http/src/verbenamux_http/errors.py
@@ -41,3 +41,7 @@
 
 class CallerGone(Exception):
     """The caller closed its connection while its request was handled."""
+
+
+class ListenerStopping(Exception):
+    """The listener ends: what is open needs its final answer now."""
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -10,17 +10,22 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from verbenamux_http.errors import CallerGone, RequestError
+from verbenamux_http.errors import (
+    CallerGone,
+    ListenerStopping,
+    RequestError,
+)
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 
 RECEIVE_BYTES = 65536
 BACKLOG = 1024
-# How long a refused caller may go on sending before the reset.
+# How long a caller may go on sending behind its last answer, before the reset.
 LINGER = timedelta(milliseconds=500)
 # How long a caller may take no bytes at all before it counts as gone.
 WRITE_STALL_MOST = timedelta(seconds=5)
 REQUEST_TIMEOUT = 408
+UNAVAILABLE = 503
 REASON_BY_STATUS = {
     200: 'OK',
     400: 'Bad Request',
@@ -52,12 +57,16 @@
     Raises CallerGone when the caller takes no more bytes.
     """
 
-    def __init__(self, opened: socket.socket, keeps_connection: bool) -> None:
+    def __init__(
+        self,
+        opened: socket.socket,
+        may_keep_connection: Callable[[], bool],
+    ) -> None:
         """Prepare an answer; nothing is written yet."""
         self.is_started = False
         self.is_complete = False
-        self.keeps_connection = keeps_connection
         self._socket = opened
+        self._may_keep_connection = may_keep_connection
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
@@ -88,7 +97,8 @@
         self.is_started = True
         reason = REASON_BY_STATUS.get(status, 'Status')
         start = f'HTTP/1.1 {status} {reason}\r\n'.encode()
-        closing = b'' if self.keeps_connection else b'Connection: close\r\n'
+        keeps = self._may_keep_connection()
+        closing = b'' if keeps else b'Connection: close\r\n'
         return b''.join((start, *headers.encoded(), closing, b'\r\n'))
 
     def _write(self, encoded: bytes) -> None:
@@ -128,8 +138,8 @@
         self.all_answered = Event()
         self.all_answered.set()
         self._callbacks = callbacks
-        self._idle: set[socket.socket] = set()
-        self._busy: set[socket.socket] = set()
+        self._task_by_idle: dict[socket.socket, Any] = {}
+        self._task_by_busy: dict[socket.socket, Any] = {}
         self._closed: set[socket.socket] = set()
         self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         self._server.start()
@@ -137,7 +147,7 @@
     @property
     def active(self) -> int:
         """Return how many requests are arriving or being answered."""
-        return len(self._busy)
+        return len(self._task_by_busy)
 
     def stop_accepting(self) -> None:
         """Close the listening socket."""
@@ -149,45 +159,79 @@
 
         One whose request has arrived, but was not read yet, is not idle.
         """
-        for opened in tuple(self._idle):
+        for opened, task in tuple(self._task_by_idle.items()):
             if _peek(opened) is None:
                 self._closed.add(opened)
                 opened.shutdown(socket.SHUT_RDWR)
+            else:
+                self._note_busy(opened, task)
+
+    def finish(self, open_most: timedelta, answers_most: timedelta) -> None:
+        """Close idle connections, and wait until no request is open.
+
+        After `open_most` each that still is gets its final answer, for which
+        callers have `answers_most`.
+        """
+        self.close_idle()
+        if not self.all_answered.wait(open_most.total_seconds()):
+            self.interrupt()
+            self.all_answered.wait(answers_most.total_seconds())
+
+    def interrupt(self) -> None:
+        """Raise ListenerStopping in the task of each open request.
+
+        A request that is still arriving is refused as not run.
+        """
+        for task in tuple(self._task_by_busy.values()):
+            _throw_soon(task, ListenerStopping('the gateway is stopping'))
 
     def _serve(self, opened: socket.socket, _peer: Any) -> None:
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = _Caller(opened, self._callbacks)
         try:
-            self._answer_all(caller, opened)
-        except CallerGone:
+            self._answer_or_refuse(caller, opened)
+        except (CallerGone, ListenerStopping):
             opened.close()
-        except RequestError as error:
-            caller.refuse(error)
         finally:
-            self._idle.discard(opened)
+            self._task_by_idle.pop(opened, None)
             self._closed.discard(opened)
             self._note_done(opened)
             opened.close()
 
+    def _answer_or_refuse(
+        self,
+        caller: '_Caller',
+        opened: socket.socket,
+    ) -> None:
+        try:
+            self._answer_all(caller, opened)
+        except RequestError as error:
+            caller.refuse(error)
+
     def _answer_all(self, caller: '_Caller', opened: socket.socket) -> None:
         keeps = True
+        task = getcurrent()
+        note_busy = partial(self._note_first_byte, opened, task)
         while keeps:
-            self._idle.add(opened)
-            request = caller.read_request(partial(self._note_busy, opened))
+            self._task_by_idle[opened] = task
+            request = caller.read_request(note_busy)
             keeps = caller.answer(request)
             self._note_done(opened)
 
-    def _note_busy(self, opened: socket.socket) -> None:
+    def _note_first_byte(self, opened: socket.socket, task: Any) -> None:
         if opened in self._closed:
             # What crossed the close on its way must not be handled.
             raise CallerGone('closed while idle')
-        self._idle.discard(opened)
-        self._busy.add(opened)
+        self._note_busy(opened, task)
+
+    def _note_busy(self, opened: socket.socket, task: Any) -> None:
+        self._task_by_idle.pop(opened, None)
+        self._task_by_busy[opened] = task
         self.all_answered.clear()
 
     def _note_done(self, opened: socket.socket) -> None:
-        self._busy.discard(opened)
-        if not self._busy:
+        self._task_by_busy.pop(opened, None)
+        if not self._task_by_busy:
             self.all_answered.set()
 
 
@@ -205,6 +249,12 @@
         All its headers must come within the header time, counted from
         their first byte; a body may pause for as long as the idle time.
         """
+        try:
+            return self._read_request(on_first_byte)
+        except ListenerStopping as stopping:
+            raise RequestError(UNAVAILABLE, str(stopping)) from stopping
+
+    def _read_request(self, on_first_byte: Callable[[], None]) -> Request:
         limits = self._callbacks.limits()
         allowed = limits.idle_time
         headers_by: timedelta | None = None
@@ -223,11 +273,14 @@
 
     def answer(self, request: Request) -> bool:
         """Answer a request; tell whether the connection goes on."""
-        stopping = self._callbacks.is_stopping()
-        reply = Reply(
-            self._socket,
-            request.keeps_connection and not stopping,
-        )
+
+        def may_keep_connection() -> bool:
+            # An answer may begin before the process is told to stop.
+            return request.keeps_connection and (
+                not self._callbacks.is_stopping()
+            )
+
+        reply = Reply(self._socket, may_keep_connection)
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
         watch = _watch_for_close(self._socket, getcurrent())
         try:
@@ -235,19 +288,15 @@
         finally:
             watch.stop()
             watch.close()
-        # An answer may have taken longer than it took to be told to stop.
-        return (
-            reply.is_complete
-            and reply.keeps_connection
-            and not self._callbacks.is_stopping()
-        )
+        keeps = reply.is_complete and may_keep_connection()
+        return keeps
 
     def refuse(self, error: RequestError) -> None:
         """Answer bytes that are refused, and close without a reset."""
         if error.status is None:
             return
         headers, body = self._callbacks.refuse(error)
-        reply = Reply(self._socket, keeps_connection=False)
+        reply = Reply(self._socket, _never)
         try:
             reply.send(error.status, headers, body)
         except CallerGone:
@@ -287,6 +336,10 @@
             sleep(0)
 
 
+def _never() -> bool:
+    return False
+
+
 def _peek(opened: socket.socket) -> bytes | None:
     """Return what has arrived, None when nothing has.
 
@@ -318,16 +371,16 @@
             return
         watcher.stop()
         if not peeked:
-            get_hub().loop.run_callback(
-                _throw_if_alive,
-                task,
-                CallerGone('closed while waiting'),
-            )
+            _throw_soon(task, CallerGone('closed while waiting'))
 
     watcher.start(on_readable)
     return watcher
 
 
+def _throw_soon(task: Any, error: Exception) -> None:
+    get_hub().loop.run_callback(_throw_if_alive, task, error)
+
+
 def _throw_if_alive(task: Any, error: Exception) -> None:
     if not task.dead:
         task.throw(error)
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -26,6 +26,7 @@
 from verbenamux_relay.placing import Move, plan
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.settling import Knowledge
+from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.targets import TargetEntry, TargetReport
 from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
@@ -108,7 +109,7 @@
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self._moving: set[str] = set()
         self._removed_ids: OrderedDict[str, None] = OrderedDict()
-        self.is_stopping = False
+        self.stop = StopPlan()
 
     def adopt(self, catalog: Catalog) -> None:
         """Take in a configuration, unless a newer one is known."""
@@ -146,11 +147,22 @@
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return (
-            not self.is_stopping
+            not self.stop.is_under_way
             and self._catalog is not None
             and bool(self.beliefs.book.by_id)
         )
 
+    def begin_stop(self, allowed: timedelta) -> timedelta:
+        """Take no more callers; return how long requests may stay open.
+
+        `allowed` is the time until the process must be gone. Requests that
+        wait for a model weigh anew whether it comes in time.
+        """
+        open_most = self.stop.begin(self._clock.elapsed(), allowed)
+        self.loader.note_change()
+        self.tell_usage()
+        return open_most
+
     def put_target(self, entry: TargetEntry) -> None:
         """Take in a registry entry."""
         is_new = self.beliefs.book.put(entry, self._clock.elapsed())
@@ -197,7 +209,7 @@
             waiting=self.demand.own_waiting(),
             asked=dict(self.demand.asked_by_model),
         )
-        self.peers.tell(usage, is_leaving=self.is_stopping)
+        self.peers.tell(usage, is_leaving=self.stop.is_under_way)
         self.allowance.note_told()
 
     def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
@@ -205,7 +217,7 @@
 
         Only the first living gateway by name plans; `run` starts a task.
         """
-        if self.is_stopping or not self.peers.is_first():
+        if self.stop.is_under_way or not self.peers.is_first():
             return
         if self._catalog is None:
             return
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -6,7 +6,11 @@
 from datetime import timedelta
 
 from verbenamux_contracts.clock import to_milliseconds
-from verbenamux_http.errors import CallerGone, RequestError
+from verbenamux_http.errors import (
+    CallerGone,
+    ListenerStopping,
+    RequestError,
+)
 from verbenamux_http.parsing import Request
 from verbenamux_http.server import Reply
 from verbenamux_relay.admitting import (
@@ -41,8 +45,15 @@
     refuse_early,
     settle,
 )
+from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.targets import REPLACED_REST, InFlight, Target
-from verbenamux_relay.waiting import Outlook, Verdict, judge, urgency
+from verbenamux_relay.waiting import (
+    RETRY_LEAST,
+    Outlook,
+    Verdict,
+    judge,
+    urgency,
+)
 
 BAD_REQUEST = 400
 GATEWAY_TIMEOUT = 504
@@ -51,6 +62,8 @@
 # How long a model that is not in place is waited for, as a part of the time
 # that the caller stays.
 MODEL_WAIT_PART = 0.85
+# A request that a stopping gateway refuses may go to another one at once.
+ELSEWHERE_TIME = RETRY_LEAST
 # Callers leave a stream without events after the longer of these.
 STAY_LEAST = timedelta(seconds=2)
 STAY_FACTOR = 4
@@ -68,6 +81,7 @@
     budget_of: Callable[[str], RepeatBudget]
     sequence: Iterator[int]
     open_jobs: OpenJobs
+    stop: StopPlan
 
     def now(self) -> timedelta:
         """Return the time since an arbitrary start."""
@@ -135,32 +149,43 @@
     except CallerGone:
         settle(job, 'caller_gone', tools.settling)
         raise
-    except RequestRefusedError as refused:
-        refuse(job, refused, tools.settling)
     except Exception as error:
-        _fail(job, error, tools.settling)
+        refused = _explain_error(job, error, tools.settling)
+        refuse(job, refused, tools.settling)
+
 
+def _explain_stop(job: Job, cause: str) -> RequestRefusedError:
+    """Word the end of an open request; what was sent may have run."""
+    if job.runs or job.stage is Stage.HEAD:
+        return RequestRefusedError(BAD_GATEWAY, cause)
+    return RequestRefusedError(UNAVAILABLE, cause, ELSEWHERE_TIME)
 
-def _fail(job: Job, error: Exception, settling: SettleTools) -> None:
-    """End a job on a defect of this gateway, still with a true answer."""
+
+def _explain_error(
+    job: Job,
+    error: Exception,
+    settling: SettleTools,
+) -> RequestRefusedError:
+    """Return how the gateway answers by itself what it could not finish."""
+    if isinstance(error, RequestRefusedError):
+        return error
+    if isinstance(error, ListenerStopping):
+        return _explain_stop(job, str(error))
+    # A defect of this gateway still gets a true answer.
     settling.log(
         'task_error',
         request_id=job.terms.request_id,
         cause=repr(error),
     )
-    if job.reply.is_started:
-        settle(job, 'broken_off', settling)
-        return
     status = UNAVAILABLE if job.sent_at is None else BAD_GATEWAY
-    failed = RequestRefusedError(status, 'internal error', NEWS_TIME)
-    refuse(job, failed, settling)
+    return RequestRefusedError(status, 'internal error', NEWS_TIME)
 
 
 def _run(job: Job, tools: RelayTools) -> None:
     tools.budget_of(job.service.name).note_first()
     last: Outcome | None = None
     choice = _choose(job, last, tools)
-    while choice.target is not None and _has_budget(job, tools):
+    while choice.target is not None and _may_send(job, tools):
         last = _send_once(job, choice.target, choice.option, tools)
         job.cause = last.cause
         if last.ending is Ending.DELIVERED:
@@ -172,7 +197,10 @@
     _give_up(job, last, choice, tools)
 
 
-def _has_budget(job: Job, tools: RelayTools) -> bool:
+def _may_send(job: Job, tools: RelayTools) -> bool:
+    if not tools.stop.may_send(tools.now()):
+        job.steps.append('the gateway is stopping')
+        return False
     if not job.sends or tools.budget_of(job.service.name).take():
         return True
     job.steps.append('no repeat left in the budget')
@@ -270,8 +298,13 @@
     if engine is None or model not in engine.models_by_name:
         return False
     now = tools.now()
-    allowed = job.arrived_at + _stay(job) * MODEL_WAIT_PART
+    allowed = tools.stop.limited(
+        job.arrived_at + _stay(job) * MODEL_WAIT_PART,
+    )
     expected = tools.loader.expected_at(model)
+    if expected is None and tools.stop.is_under_way:
+        job.steps.append('the model is not being loaded as the gateway stops')
+        return False
     if max(now, expected or now) >= allowed:
         job.steps.append('the model is not in place in time')
         job.expected_at = expected
@@ -410,14 +443,15 @@
     elif last is not None and last.answer is not None:
         deliver(job, last.answer, tools.settling)
     else:
-        raise _explain(job, choice.option, tools.now())
+        raise _explain(job, choice.option, tools)
 
 
 def _explain(
     job: Job,
     option: Option | None,
-    now: timedelta,
+    tools: RelayTools,
 ) -> RequestRefusedError:
+    now = tools.now()
     if job.runs:
         is_late = job.time_left(now) <= timedelta()
         status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
@@ -428,6 +462,8 @@
             'all targets are behind',
             predict(option) - job.route.objective,
         )
+    if tools.stop.is_under_way:
+        return _explain_stop(job, 'the gateway is stopping')
     wait = LOADING_TIME if job.terms.model else NEWS_TIME
     if job.expected_at is not None:
         wait = job.expected_at - now
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -10,7 +10,7 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_http.client import ConnectionPool
-from verbenamux_http.errors import CallerGone
+from verbenamux_http.errors import CallerGone, ListenerStopping
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 from verbenamux_platform.dialect import platform_dialect
@@ -35,7 +35,12 @@
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.sending import SendTools
 from verbenamux_relay.settling import Knowledge, SettleTools
-from verbenamux_relay.targets import TargetBook, TargetEntry
+from verbenamux_relay.stopping import StopPlan
+from verbenamux_relay.targets import (
+    TargetBook,
+    TargetEntry,
+    TargetReport,
+)
 from verbenamux_runtime.metrics import Metrics
 
 SECOND = timedelta(seconds=1)
@@ -48,6 +53,16 @@
 STREAM_HEAD = b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n' % PROOF
 
 
+ENGINE = EngineTerms(
+    1,
+    1,
+    1,
+    1,
+    1,
+    {'m': ModelTerms('m', 1, SECOND, SECOND, SECOND)},
+)
+
+
 def event(number):
     encoded = b'id: %d\ndata: x\n\n' % number
     return b'%x\r\n%b\r\n' % (len(encoded), encoded)
@@ -196,9 +211,10 @@
             budget_of=lambda _service: self.budget,
             sequence=count(1),
             open_jobs=OpenJobs(),
+            stop=StopPlan(),
         )
 
-    def ask(self, headers=(), key='key', body=b''):
+    def ask(self, headers=(), key='key', body=b'', tools=None):
         fields = {
             'Host': 'host',
             'Attempt-Id': 'id-1',
@@ -216,7 +232,7 @@
             keeps_connection=True,
         )
         reply = FakeReply()
-        relay(request, reply, self.tools())
+        relay(request, reply, tools or self.tools())
         return reply
 
     def sent(self):
@@ -427,10 +443,8 @@
 
 
 def test_a_model_nobody_can_load_is_refused_before_the_caller_leaves():
-    model = ModelTerms('m', 1, SECOND, SECOND, SECOND)
-    engine = EngineTerms(1, 1, 1, 1, 1, {'m': model})
     world = World(FakeTarget(DONE))
-    world.service = Service('service', 1, engine)
+    world.service = Service('service', 1, ENGINE)
     started = world.clock.elapsed()
     reply = world.ask({'Model': 'm'})
     assert reply.status == 503
@@ -461,3 +475,68 @@
     world = World(FakeTarget(DONE))
     assert world.ask(header).status == 400
     assert not world.sent()
+
+
+class StuckLink:
+    """A link to a keeper that gives no answer."""
+
+    def ask(self, _ask_id, _message, _timeout):
+        gevent.sleep(9)
+
+
+def interrupted(world, **asked):
+    """Ask, and interrupt the request while it is open."""
+    task = gevent.spawn(world.ask, **asked)
+    gevent.sleep(0.1)
+    task.kill(ListenerStopping('stopping'), block=False)
+    return task.get(timeout=1)
+
+
+def silent(kind):
+    return World(FakeTarget([b'']), kind=kind)
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_sent_request_is_never_said_not_to_have_run_by_a_stop(kind):
+    reply = interrupted(silent(kind))
+    assert reply.status == 502
+    assert reply.is_complete
+
+
+def test_a_stop_refuses_what_waits_for_an_adapter():
+    """It has not run, and another gateway may take it at once."""
+    world = World(FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    world.book.by_id['t0'].report = TargetReport(
+        't0',
+        world.clock.elapsed(),
+        models=frozenset('m'),
+    )
+    tools = world.tools()
+    tools.loader.link_of = lambda _target: StuckLink()
+    reply = interrupted(
+        world,
+        headers={'Model': 'm/a1', 'Token-Usage': '10,5'},
+        tools=tools,
+    )
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert not world.sent()
+
+
+def test_nothing_is_sent_late_in_a_stop():
+    world = World(FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND)
+    reply = world.ask(tools=tools)
+    assert reply.status == 503
+    assert not world.sent()
+
+
+def test_a_request_already_sent_goes_nowhere_else_late_in_a_stop():
+    world = World(FakeTarget([b'HTTP']), FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 0.2)
+    reply = world.ask(tools=tools)
+    assert reply.status == 502
+    assert len(world.sent()) == 1
