Take the backlog before the listener closes, and linger behind last answers

Callers of a stopping gateway saw resets in two more ways: connections that were established but not accepted yet were reset as the listening socket closed, and a connection closed behind its last answer was reset if the caller had sent more meanwhile, which may overtake the answer.

Tests in tests/http/test_server.py: the first two failed before (all_answered set with a request in the backlog; ConnectionResetError behind the answer).

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -1,6 +1,7 @@
 """A listener for callers: one task per connection."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
@@ -150,9 +151,15 @@
         return len(self._task_by_busy)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
+        """Take the connections that were established, then no more."""
         self._server.stop_accepting()
+        # Callers of what can't be accepted see a reset and connect elsewhere.
+        with suppress(OSError):
+            for accepted in iter(self._server.do_read, None):
+                self._server.do_handle(*accepted)
         self._server.socket.close()
+        # The tasks of new connections have to begin before they count.
+        sleep(0)
 
     def close_idle(self) -> None:
         """Close connections on which no request is arriving or answered.
@@ -289,6 +296,9 @@
             watch.stop()
             watch.close()
         keeps = reply.is_complete and may_keep_connection()
+        if reply.is_complete and request.keeps_connection and not keeps:
+            # Bytes left unread would reset the connection, and the answer.
+            self._linger()
         return keeps
 
     def refuse(self, error: RequestError) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,5 +1,6 @@
 """The callers' edge over real sockets on loopback."""
 
+import socket as native_socket
 import time
 from datetime import timedelta
 
@@ -32,7 +33,7 @@
         self.listener = Listener(
             ('127.0.0.1', 0),
             Callbacks(
-                handle=self.handle,
+                handle=lambda request, reply: self.handle(request, reply),
                 refuse=lambda error: (Headers(), error.message.encode()),
                 limits=lambda: LIMITS,
                 elapsed=SystemClock().elapsed,
@@ -162,3 +163,55 @@
     received = read_all(caller)
     assert received.startswith(b'HTTP/1.1 200') or not edge.handled
     assert received.startswith(b'HTTP/1.1 200')
+
+
+def test_a_stop_answers_connections_that_were_not_accepted_yet(edge):
+    """Closing the listening socket reset them, with requests on their way."""
+    caller = native_socket.create_connection(edge.address)
+    caller.sendall(GET)
+    edge.is_stopping = True
+    edge.listener.stop_accepting()
+    edge.listener.close_idle()
+    assert not edge.listener.all_answered.is_set()
+    assert edge.listener.all_answered.wait(1)
+    caller.settimeout(1)
+    assert caller.recv(4096).startswith(b'HTTP/1.1 200')
+
+
+def test_the_last_answer_of_a_stop_is_not_followed_by_a_reset(edge):
+    """A reset may overtake the answer; the caller has sent more meanwhile."""
+    edge.delay = 0.1
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    caller.sendall(GET)
+    gevent.sleep(0.2)
+    assert read_all(caller).count(b'HTTP/1.1 200') == 1
+    assert edge.handled == ['/']
+
+
+def test_an_interrupt_refuses_a_request_that_is_still_arriving(edge):
+    caller = edge.connect()
+    caller.sendall(GET[:-2])
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    edge.listener.interrupt()
+    assert read_all(caller).startswith(b'HTTP/1.1 503')
+    assert not edge.handled
+
+
+def test_an_interrupt_never_writes_behind_an_answer_that_began(edge):
+    """Its missing end tells the caller that it broke off."""
+
+    def begin(_request, reply):
+        reply.start(200, Headers())
+        reply.send_piece(b'event')
+        gevent.sleep(9)
+
+    edge.handle = begin
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.02)
+    edge.listener.interrupt()
+    assert read_all(caller).endswith(b'5\r\nevent\r\n')
