Soak: streams wait for longer than a stop takes, and stops lose nothing behind the signal

Why the soak missed LOST: its callers waited for 4 s, less than the 4.9 s that a stop leaves behind the entry's time, so that no wait outlived a stop; and the check looked only at requests sent before the signal.

Streams may wait for 12 s now, with an objective of 4 s. The check takes in what was sent until the process ended: lost is what got no answer, unless it came behind the signal, never ran and ended within the 0.5 s that the soak allows for an answer (a request that crosses the close). A stream cut before the last sixth of a stop counts too. Six cases in test_checking.py show it.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -18,7 +18,7 @@
 SLOT = 16
 GATEWAY, KEEPER = 'gateway-1', 'keeper-1'
 # Longer than a stop may take, so that no deadline ends a request first.
-TIMEOUT_MS = 20_000
+TIMEOUT_MS_BY_KIND = dict.fromkeys(('order', 'look', 'stream'), 20_000)
 GRACE_SECONDS = BOUNDS['grace_s']
 OK, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 200, 502, 503, 504
 
@@ -71,8 +71,8 @@
 @pytest.fixture
 def world(tmp_path):
     made = World(tmp_path, SLOT, Random(1))
-    made.timeout_ms = TIMEOUT_MS
-    made.objective_ms = TIMEOUT_MS
+    made.timeout_ms_by_kind = TIMEOUT_MS_BY_KIND
+    made.objective_ms_by_kind = TIMEOUT_MS_BY_KIND
     made.start((KEEPER, GATEWAY))
     yield made
     made.stop()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,7 +5,7 @@
 import gevent
 
 from soak.evidence import Attempt
-from soak.world import GATEWAYS, MODELS, PROXY_PORT, TIMEOUT_MS
+from soak.world import GATEWAYS, MODELS, PROXY_PORT, TIMEOUT_MS_BY_KIND
 from verbenamux_http.client import ConnectionPool, Outgoing
 from verbenamux_http.errors import ExchangeFailure
 from verbenamux_http.headers import Headers
@@ -86,9 +86,8 @@
         pool.give_back(address, exchange)
 
     def read(self, exchange, attempt):
-        patience = timedelta(
-            seconds=TIMEOUT_MS / 1000 + PATIENCE_SECONDS,
-        )
+        allowed = TIMEOUT_MS_BY_KIND[attempt.kind] / 1000
+        patience = timedelta(seconds=allowed + PATIENCE_SECONDS)
         head = exchange.read_head(patience)
         attempt.status = head.status
         attempt.proof = head.headers.get('Server-Signature')
@@ -102,7 +101,7 @@
             ('Host', 'h'),
             ('Attempt-Id', attempt.request_id),
             ('Authorization', f'Bearer {attempt.key}'),
-            ('Deadline-Ms', str(TIMEOUT_MS)),
+            ('Deadline-Ms', str(TIMEOUT_MS_BY_KIND[attempt.kind])),
             ('Content-Length', '4'),
         ]
         if attempt.kind == 'stream':
--- a/tests/soak/checking.py
+++ b/tests/soak/checking.py
@@ -8,14 +8,20 @@
 from collections.abc import Callable, Iterator
 from signal import SIGTERM
 
-from soak.evidence import Attempt, Evidence
+from soak.evidence import Attempt, Evidence, Stop
 from soak.targets import (
     EVENTS,
     event_bytes,
     proof_of,
     whole_answer,
 )
-from soak.world import BOUNDS, BURST, KEEPERS, RATE, TIMEOUT_MS
+from soak.world import (
+    BOUNDS,
+    BURST,
+    KEEPERS,
+    RATE,
+    TIMEOUT_MS_BY_KIND,
+)
 
 PROMISING = frozenset((408, 421, 429, 503))
 OK = 200
@@ -171,7 +177,8 @@
         if attempt.has_left or attempt.ended_at is None:
             continue
         took = attempt.ended_at - attempt.sent_at
-        limit = TIMEOUT_MS / 1000 + ANSWER_SECONDS
+        allowed = TIMEOUT_MS_BY_KIND[attempt.kind] / 1000
+        limit = allowed + ANSWER_SECONDS
         if took <= limit:
             continue
         begin = attempt.sent_at - MEMORY_SECONDS
@@ -190,16 +197,32 @@
         for attempt in evidence.attempts:
             is_open = (
                 attempt.gateway == stop.name
-                and attempt.sent_at <= stop.began_at
+                and attempt.sent_at <= end
                 and (attempt.ended_at or end) >= stop.began_at
             )
-            is_lost = attempt.status is None and not attempt.has_left
-            if not is_open or not is_lost:
+            if not is_open or not _is_lost(evidence, attempt, stop):
                 continue
             if not _is_troubled(evidence, attempt, end, but='stop'):
                 yield f'{attempt.request_id} was lost: {attempt.failure}'
 
 
+def _is_lost(evidence: Evidence, attempt: Attempt, stop: Stop) -> bool:
+    """Tell whether a stop cut a request that its gateway had taken.
+
+    One sent behind the signal may cross the close of its connection, unless
+    it was passed on or held. A stream may be cut in the last sixth of a stop.
+    """
+    ended_at = attempt.ended_at or evidence.ended_at
+    if attempt.has_left or attempt.is_whole:
+        return False
+    if attempt.status is not None:
+        return ended_at < stop.began_at + BOUNDS['grace_s'] * 5 / 6
+    if attempt.sent_at <= stop.began_at:
+        return True
+    has_run = bool(_runs_by_request(evidence)[attempt.request_id])
+    return has_run or ended_at - attempt.sent_at > ANSWER_SECONDS
+
+
 def engines_have_one_holder(evidence: Evidence) -> Iterator[str]:
     """An engine gets its orders from one holder, with rising tokens."""
     holders: defaultdict[str, set[str]] = defaultdict(set)
--- a/tests/soak/test_checking.py
+++ b/tests/soak/test_checking.py
@@ -156,3 +156,28 @@
     assert made.key_withdrawn_at == {'doomed-1': 5.0}
     assert 'doomed-1' not in put[0]
     assert len(put[0]) == 2
+
+
+STOPPED = Stop('gateway-1', 100.2, 107.4, 0)
+BEHIND = replace(SENT, sent_at=100.3)
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'runs', 'is_found'),
+    [
+        (replace(BEHIND, ended_at=107.4), (), True),
+        (replace(BEHIND, ended_at=100.4), (RAN,), True),
+        (replace(BEHIND, ended_at=100.4), (), False),
+        (replace(BEHIND, ended_at=103.0, status=200), (RAN,), True),
+        (replace(BEHIND, ended_at=107.4, status=200), (RAN,), False),
+        (replace(BEHIND, ended_at=101.0, status=503, is_whole=True), (), False),
+    ],
+)
+def test_what_a_stop_took_is_lost_unless_it_crossed_a_close(
+    attempt,
+    runs,
+    is_found,
+):
+    """Waits behind the signal were cut, and the soak looked before it only."""
+    found = evidence(attempt, runs=runs, stops=[STOPPED])
+    assert bool(list(checking.stops_lose_nothing(found))) is is_found
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -47,8 +47,10 @@
     'ceiling_window_s': 5,
     'ceiling_overage': 1.1,
 }
-TIMEOUT_MS = 4000
-OBJECTIVE_MS = 1000
+# What callers name in their requests. Streams may wait for a model for longer
+# than a gateway's stop takes.
+TIMEOUT_MS_BY_KIND = {'order': 4000, 'look': 4000, 'stream': 12_000}
+OBJECTIVE_MS_BY_KIND = {'order': 1000, 'look': 1000, 'stream': 4000}
 RATE, BURST = 30.0, 60.0
 
 
@@ -66,8 +68,8 @@
         self.keys = {'kept': 'w1', 'limited': 'w2', 'doomed-1': 'w1'}
         self.version = 0
         self.plain_service = 'ledger'
-        self.timeout_ms = TIMEOUT_MS
-        self.objective_ms = OBJECTIVE_MS
+        self.timeout_ms_by_kind = TIMEOUT_MS_BY_KIND
+        self.objective_ms_by_kind = OBJECTIVE_MS_BY_KIND
         self.targets = {}
         self.silent_targets = set()
         self.programs = {}
@@ -213,12 +215,9 @@
             for workspace in ('w1', 'w2')
         ]
         routes = [
-            self.route(prefix, kind, service)
-            for prefix, kind, service in (
-                ('/order/', 'non_idempotent', self.plain_service),
-                ('/look/', 'idempotent', self.plain_service),
-                ('/model/', 'streaming', 'engine'),
-            )
+            self.route('order', '/order/', 'non_idempotent'),
+            self.route('look', '/look/', 'idempotent'),
+            self.route('stream', '/model/', 'streaming'),
         ]
         return {
             'version': self.version,
@@ -231,18 +230,19 @@
             'tenants': tenants,
         }
 
-    def route(self, prefix, kind, service):
+    def route(self, kind, prefix, route_kind):
         """Return one route of the configuration."""
+        is_stream = route_kind == 'streaming'
         return {
             'name': prefix.strip('/'),
             'hostname': 'h',
             'path_prefix': prefix,
-            'route_kind': kind,
-            'timeout_ms': self.timeout_ms,
-            'target_latency_ms': self.objective_ms,
-            'service': service,
+            'route_kind': route_kind,
+            'timeout_ms': self.timeout_ms_by_kind[kind],
+            'target_latency_ms': self.objective_ms_by_kind[kind],
+            'service': 'engine' if is_stream else self.plain_service,
             'max_attempts': 2,
-            'resumable': kind == 'streaming',
+            'resumable': is_stream,
         }
 
     def entry(self, name, state='ready'):
