--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from verbenamux_contracts.clock import SystemClock
+from verbenamux_http import server
 from verbenamux_http.errors import CallerGone
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import SizeLimits
@@ -29,6 +30,8 @@
         self.delay = 0
         self.gone = 0
         self.handled = []
+        self.body = None
+        self.defect = None
         self.listener = Listener(
             ('127.0.0.1', 0),
             Callbacks(
@@ -48,7 +51,9 @@
         except CallerGone:
             self.gone += 1
             raise
-        reply.send(200, Headers(), request.target.encode())
+        if self.defect is not None:
+            raise self.defect
+        reply.send(200, Headers(), self.body or request.target.encode())
 
     def connect(self):
         connected = socket.create_connection(self.address)
@@ -162,3 +167,91 @@
     received = read_all(caller)
     assert received.startswith(b'HTTP/1.1 200') or not edge.handled
     assert received.startswith(b'HTTP/1.1 200')
+
+
+def test_a_stop_answers_every_request_that_was_read(edge):
+    """The second of two was read with the first, and nothing answered it."""
+    edge.delay = 0.1
+    caller = edge.connect()
+    caller.sendall(GET + GET)
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    received = read_all(caller)
+    assert received.count(b'HTTP/1.1 200') == 2
+    assert received.count(b'Connection: close') == 1
+
+
+def test_a_request_that_arrived_before_the_stop_is_open(edge):
+    """A stop waits for `all_answered`, and would end the process at once."""
+    caller = edge.connect()
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    caller._sock.sendall(GET)
+    time.sleep(0.02)
+    edge.listener.close_idle()
+    assert not edge.listener.all_answered.is_set()
+
+
+def test_a_stop_waits_for_a_request_begun_as_the_last_other_ends(edge):
+    """Being woken is no proof: the process ended with one request open."""
+    edge.delay = 0.05
+    first = edge.connect()
+    first.sendall(GET)
+    second = edge.connect()
+    gevent.sleep(0.02)
+    stop = gevent.spawn(edge.listener.all_answered.wait, 5)
+    gevent.sleep(0.01)
+    # Both are due in the same round of the event loop.
+    second._sock.sendall(GET)
+    time.sleep(0.1)
+    stop.join()
+    assert edge.listener.active == 0
+
+
+def test_a_caller_that_takes_bytes_all_along_gets_its_whole_answer(
+    edge,
+    monkeypatch,
+):
+    """The limit is on taking no bytes at all, not on the whole answer."""
+    stall_most = timedelta(milliseconds=500)
+    monkeypatch.setattr(server, 'WRITE_STALL_MOST', stall_most)
+    edge.body = b'x' * 12_000_000
+    caller = edge.connect()
+    caller.sendall(GET)
+    taken = 0
+    while piece := caller.recv(65536):
+        taken += len(piece)
+        gevent.sleep(0.01)
+    assert taken > len(edge.body)
+
+
+def test_a_request_is_answered_whatever_follows_it(edge):
+    """Bytes behind a whole request got it refused, and it was not handled."""
+    caller = edge.connect()
+    caller.sendall(GET + b'\x00 no request\r\n\r\n')
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+    assert edge.handled
+
+
+def test_bytes_behind_the_last_request_do_not_cut_its_answer(edge):
+    """The close reset the connection, with the answer still on its way."""
+    edge.delay = 0.05
+    edge.body = b'x' * 400_000
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    caller.settimeout(2)
+    caller.connect(edge.address)
+    caller.sendall(GET)
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    caller.sendall(GET)
+    gevent.sleep(0.1)
+    assert len(read_all(caller)) > len(edge.body)
+
+
+def test_a_handlers_defect_is_answered(edge):
+    """The connection was closed without a word, and nothing was logged."""
+    edge.defect = KeyError('a defect')
+    caller = edge.connect()
+    caller.sendall(GET)
+    assert read_all(caller).startswith(b'HTTP/1.1 5')
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1,5 +1,6 @@
 """One request through a gateway to targets over real sockets on loopback."""
 
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 from random import Random
@@ -348,6 +349,43 @@
     assert resumed.headers.get('Last-Event-Id') == '2'
 
 
+def test_a_silent_stream_goes_on_where_nothing_else_can_resume_it():
+    """It was cut after 1.2 s, while its only target was still at work.
+
+    A target's silence is no reason to end an answer sooner.
+    """
+
+    class PausingTarget(FakeTarget):
+        def answer(self, opened):
+            for piece in (STREAM_HEAD, event(1)):
+                opened.sendall(piece)
+            gevent.sleep(1.5)
+            opened.sendall(event(2) + b'0\r\n\r\n')
+            return True
+
+    world = World(PausingTarget(), kind=RouteKind.STREAMING, is_resumable=True)
+    world.route = replace(world.route, timeout=SECOND * 5)
+    reply = world.ask({'Deadline-Ms': '4500'})
+    assert reply.body.count(b'id: ') == 2
+    assert reply.is_complete
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        'Server-Load: \xb2,1,8',
+        'Keep-Alive: timeout=\xb2',
+        'Keep-Alive: timeout=99999999999999999',
+    ],
+)
+def test_an_odd_number_in_a_targets_headers_spoils_no_answer(field):
+    """It raised in the gateway, which answered 502 in the answer's place."""
+    line = f'{field}\r\nContent-Length'.encode('latin-1')
+    world = World(FakeTarget(DONE.replace(b'Content-Length', line)))
+    reply = world.ask()
+    assert (reply.status, reply.body) == (200, b'done')
+
+
 def test_a_stream_that_can_not_be_resumed_never_looks_complete():
     broken = [STREAM_HEAD, event(1), None]
     world = World(FakeTarget(broken), kind=RouteKind.STREAMING)
