A test: a wait that is given up must not end the sending of a body

The task that sends a long body takes the socket's timeout of whoever waits for the answer, ends at it in silence, and the target waits for the rest for ever.

--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -131,6 +131,31 @@
     assert not pool._idle_by_address.get(target.address)
 
 
+def test_a_wait_that_is_given_up_leaves_the_long_body_on_its_way(pool):
+    """The wait's timeout ended the sending too, and no answer could come.
+
+    A reader that waits on, as for a busy target, waited in vain.
+    """
+    body = b'x' * 8_000_000
+
+    def read_late(opened, _peer):
+        gevent.sleep(0.3)
+        received = 0
+        while received < len(body):
+            received += len(opened.recv(1_000_000)) or len(body)
+        opened.sendall(HELLO)
+
+    late = StreamServer(('127.0.0.1', 0), read_late)
+    late.start()
+    headers = Headers((('Host', 'h'), ('Content-Length', str(len(body)))))
+    exchange = pool.take(late.address, SOON).start(
+        Outgoing('POST', '/', headers, body),
+    )
+    with pytest.raises(ExchangeFailure):
+        exchange.read_head(timedelta(milliseconds=100))
+    assert exchange.read_head(timedelta(seconds=5)).status == 200
+
+
 @pytest.mark.parametrize('text', ['', 'a', 'host:80', '1.2.3.4', '1.2.3:x'])
 def test_bad_addresses_are_refused(text):
     with pytest.raises((ValueError, OSError)):
