Wait until nothing is open, not until nothing was open once

Callers of a stopping gateway could lose a request that began as the last other one ended: the event that wakes the stop was set for a moment, and the process ended with one request open. Listener.wait_answered looks again after each wake-up.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -129,15 +129,12 @@
 
 
 class Listener:
-    """Accepts callers on an address until it is stopped.
-
-    `all_answered` is set while no request is arriving or being answered.
-    """
+    """Accepts callers on an address until it is stopped."""
 
     def __init__(self, address: tuple[str, int], callbacks: Callbacks) -> None:
         """Bind and accept."""
-        self.all_answered = Event()
-        self.all_answered.set()
+        self._all_answered = Event()
+        self._all_answered.set()
         self._callbacks = callbacks
         self._task_by_idle: dict[socket.socket, Any] = {}
         self._task_by_busy: dict[socket.socket, Any] = {}
@@ -167,6 +164,20 @@
         One whose request has arrived, but was not read yet, is not idle.
         """
         for opened, task in tuple(self._task_by_idle.items()):
+    def wait_answered(self, most: timedelta) -> bool:
+        """Wait until no request is arriving or being answered.
+
+        Return false when one still is after the time allowed.
+        """
+        give_up_at = self._callbacks.elapsed() + most
+        while self.active:
+            left = give_up_at - self._callbacks.elapsed()
+            if left <= timedelta():
+                return False
+            # Another request may begin between the event and this task.
+            self._all_answered.wait(left.total_seconds())
+        return True
+
             if _peek(opened) is None:
                 self._closed.add(opened)
                 opened.shutdown(socket.SHUT_RDWR)
@@ -180,9 +191,9 @@
         callers have `answers_most`.
         """
         self.close_idle()
-        if not self.all_answered.wait(open_most.total_seconds()):
+        if not self.wait_answered(open_most):
             self.interrupt()
-            self.all_answered.wait(answers_most.total_seconds())
+            self.wait_answered(answers_most)
 
     def interrupt(self) -> None:
         """Raise ListenerStopping in the task of each open request.
@@ -234,12 +245,12 @@
     def _note_busy(self, opened: socket.socket, task: Any) -> None:
         self._task_by_idle.pop(opened, None)
         self._task_by_busy[opened] = task
-        self.all_answered.clear()
+        self._all_answered.clear()
 
     def _note_done(self, opened: socket.socket) -> None:
         self._task_by_busy.pop(opened, None)
         if not self._task_by_busy:
-            self.all_answered.set()
+            self._all_answered.set()
 
 
 class _Caller:
