Answer each request that was read before a stop closes the connection

Of two requests that were read at once, the second was dropped without an answer when a stop came during the first: the connection was closed behind the answer under way. It goes on now until no whole request is left, and only the last answer says that the connection closes. Its test failed before. Found by reading.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -293,9 +293,10 @@
         """Answer a request; tell whether the connection goes on."""
 
         def may_keep_connection() -> bool:
-            # An answer may begin before the process is told to stop.
+            # An answer may begin before the process is told to stop, and a
+            # further request may have been read with this one.
             return request.keeps_connection and (
-                not self._callbacks.is_stopping()
+                bool(self._parser.complete) or not self._callbacks.is_stopping()
             )
 
         reply = Reply(self._socket, may_keep_connection)
