Limit the time in which a caller takes no bytes, not the whole answer's

sendall spends one time limit on all of an answer, so a long one to a slow caller was cut after 5 s though the caller took bytes all along. Each send has the limit of its own now. Found by reading.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -104,7 +104,10 @@
 
     def _write(self, encoded: bytes) -> None:
         try:
-            self._socket.sendall(encoded)
+        # Each send has the whole time limit, however long the answer is.
+        rest = memoryview(encoded)
+            while rest:
+                rest = rest[self._socket.send(rest) :]
         except OSError as error:
             raise CallerGone(repr(error)) from error
 
