Answer whole requests in front of bytes that are none

A whole request was refused with 400 and never handled when bad bytes were read right behind it. Its answer goes out first; the bad bytes are refused after it. Its test failed before. Found by reading.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -266,6 +266,8 @@
 
     def read_request(self, on_first_byte: Callable[[], None]) -> Request:
         """Return the next request; raises RequestError or CallerGone.
+        # What is wrong with the bytes behind the last whole request.
+        self._malformed: RequestError | None = None
 
         All its headers must come within the header time, counted from
         their first byte; a body may pause for as long as the idle time.
@@ -282,7 +284,9 @@
         while not self._parser.complete:
             received = self._receive(allowed)
             on_first_byte()
-            self._parser.feed(received)
+            self._feed(received)
+            if self._malformed is not None:
+                raise self._malformed
             now = self._callbacks.elapsed()
             headers_by = headers_by or now + limits.header_time
             allowed = headers_by - now
@@ -342,6 +346,13 @@
             raise RequestError(status, 'the request took too long') from error
         except OSError as error:
             raise CallerGone(repr(error)) from error
+    def _feed(self, received: bytes) -> None:
+        try:
+            self._parser.feed(received)
+        except RequestError as error:
+            # Whole requests in front of the bad bytes are answered first.
+            self._malformed = error
+
         if not received:
             raise CallerGone('closed')
         return received
