Answer a request whose handler raised, and log what it raised

An exception out of the handler closed the connection without an answer and without a line of ours. It is reported now and answered with 502, since the request may have run, unless an answer has begun. Found by reading.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -26,6 +26,7 @@
 # How long a caller may take no bytes at all before it counts as gone.
 WRITE_STALL_MOST = timedelta(seconds=5)
 REQUEST_TIMEOUT = 408
+BAD_GATEWAY = 502
 UNAVAILABLE = 503
 REASON_BY_STATUS = {
     200: 'OK',
@@ -103,9 +104,9 @@
         return b''.join((start, *headers.encoded(), closing, b'\r\n'))
 
     def _write(self, encoded: bytes) -> None:
-        try:
         # Each send has the whole time limit, however long the answer is.
         rest = memoryview(encoded)
+        try:
             while rest:
                 rest = rest[self._socket.send(rest) :]
         except OSError as error:
@@ -121,7 +122,8 @@
     """What a listener asks of the program behind it.
 
     `refuse` words the answer to bytes that are refused; `is_stopping` tells
-    whether connections are to be closed behind their answers.
+    whether connections are to be closed behind their answers; `report` gets
+    what `handle` raised.
     """
 
     handle: Handler
@@ -129,6 +131,7 @@
     limits: Callable[[], EdgeLimits]
     elapsed: Callable[[], timedelta]
     is_stopping: Callable[[], bool]
+    report: Callable[[Exception], None]
 
 
 class Listener:
@@ -161,12 +164,6 @@
         # The tasks of new connections have to begin before they count.
         sleep(0)
 
-    def close_idle(self) -> None:
-        """Close connections on which no request is arriving or answered.
-
-        One whose request has arrived, but was not read yet, is not idle.
-        """
-        for opened, task in tuple(self._task_by_idle.items()):
     def wait_answered(self, most: timedelta) -> bool:
         """Wait until no request is arriving or being answered.
 
@@ -181,6 +178,12 @@
             self._all_answered.wait(left.total_seconds())
         return True
 
+    def close_idle(self) -> None:
+        """Close connections on which no request is arriving or answered.
+
+        One whose request has arrived, but was not read yet, is not idle.
+        """
+        for opened, task in tuple(self._task_by_idle.items()):
             if _peek(opened) is None:
                 self._closed.add(opened)
                 opened.shutdown(socket.SHUT_RDWR)
@@ -263,11 +266,11 @@
         self._socket = opened
         self._callbacks = callbacks
         self._parser = RequestParser(lambda: callbacks.limits().sizes)
+        # What is wrong with the bytes behind the last whole request.
+        self._malformed: RequestError | None = None
 
     def read_request(self, on_first_byte: Callable[[], None]) -> Request:
         """Return the next request; raises RequestError or CallerGone.
-        # What is wrong with the bytes behind the last whole request.
-        self._malformed: RequestError | None = None
 
         All its headers must come within the header time, counted from
         their first byte; a body may pause for as long as the idle time.
@@ -282,11 +285,11 @@
         allowed = limits.idle_time
         headers_by: timedelta | None = None
         while not self._parser.complete:
+            if self._malformed is not None:
+                raise self._malformed
             received = self._receive(allowed)
             on_first_byte()
             self._feed(received)
-            if self._malformed is not None:
-                raise self._malformed
             now = self._callbacks.elapsed()
             headers_by = headers_by or now + limits.header_time
             allowed = headers_by - now
@@ -310,7 +313,7 @@
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
         watch = _watch_for_close(self._socket, getcurrent())
         try:
-            self._callbacks.handle(request, reply)
+            self._handle(request, reply)
         finally:
             watch.stop()
             watch.close()
@@ -320,6 +323,17 @@
             self._linger()
         return keeps
 
+    def _handle(self, request: Request, reply: Reply) -> None:
+        """Have a request handled; raises RequestError on a defect."""
+        try:
+            self._callbacks.handle(request, reply)
+        except (CallerGone, ListenerStopping):
+            raise
+        except Exception as error:
+            self._callbacks.report(error)
+            if not reply.is_started:
+                raise RequestError(BAD_GATEWAY, 'internal error') from error
+
     def refuse(self, error: RequestError) -> None:
         """Answer bytes that are refused, and close without a reset."""
         if error.status is None:
@@ -332,6 +346,13 @@
             return
         self._linger()
 
+    def _feed(self, received: bytes) -> None:
+        try:
+            self._parser.feed(received)
+        except RequestError as error:
+            # Whole requests in front of the bad bytes are answered first.
+            self._malformed = error
+
     def _welcome_body(self) -> None:
         if self._parser.expects_continue:
             self._parser.expects_continue = False
@@ -346,13 +367,6 @@
             raise RequestError(status, 'the request took too long') from error
         except OSError as error:
             raise CallerGone(repr(error)) from error
-    def _feed(self, received: bytes) -> None:
-        try:
-            self._parser.feed(received)
-        except RequestError as error:
-            # Whole requests in front of the bad bytes are answered first.
-            self._malformed = error
-
         if not received:
             raise CallerGone('closed')
         return received
