A fleet that fails to start is a red row of the proofs, not their end

Cause: an exception of one run went through the pool's map and out of the command. Change: a run without a verdict is a row that is not as it must be, with the error and the path of its logs, where the traceback lies too; the exit code stays 1. A gateway that is not ready in time is told with what it lacks (targets silent, peers, models held nowhere), and a process that ended before the fleet was ready is told at once, with its code and last line, not 30 s later as a gateway that is not ready. Not this commit's: why that gateway was not ready. Evidence: both new tests failed before (the exception came out of `prove`; the command printed no table) and pass now.

--- a/libs/harness/src/verbenamux_harness/fleet.py
+++ b/libs/harness/src/verbenamux_harness/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from itertools import chain
 from pathlib import Path
 from typing import Any
 
@@ -12,9 +13,18 @@
 
 from verbenamux_harness import declaring
 from verbenamux_harness.layout import Layout
-from verbenamux_harness.processes import Process, program
+from verbenamux_harness.processes import (
+    Process,
+    ProcessEndedError,
+    program,
+)
 from verbenamux_harness.shapes import FleetShape
-from verbenamux_harness.web import Answer, call, wait_until
+from verbenamux_harness.web import (
+    Answer,
+    ConditionTimeoutError,
+    call,
+    wait_until,
+)
 
 COMMAND_SECONDS = 60
 
@@ -90,9 +100,20 @@
         )
 
     def wait_ready(self) -> None:
-        """Wait until every model and service can be reached everywhere."""
+        """Wait until every model and service can be reached everywhere.
+
+        Errors:
+            ConditionTimeoutError: a gateway is not ready in time; the text
+                tells what it lacks.
+            ProcessEndedError: a process of the fleet ended meanwhile.
+
+        """
         for name in self.gateways:
-            wait_until(self._is_ready(name), f'{name} to be ready')
+            try:
+                wait_until(self._is_ready(name), f'{name} to be ready')
+            except ConditionTimeoutError as error:
+                lacks = '; '.join(self._lacks(name))
+                raise ConditionTimeoutError(f'{error}: {lacks}') from error
 
     def status(self, gateway: str) -> dict[str, Any]:
         """Return what a gateway says of itself."""
@@ -153,19 +174,39 @@
         return codes
 
     def _is_ready(self, gateway: str) -> Callable[[], bool]:
-        models = {model.name for model in self.shape.models}
-
         def ready() -> bool:
-            status = self.status(gateway)
-            held = set()
-            for target in status['targets'].values():
-                held.update(target['models'])
-            alive = all(row['alive'] for row in status['targets'].values())
-            peers = len(status['peers']) == self.shape.gateways - 1
-            return status['ready'] and alive and peers and models <= held
+            self._check_running()
+            return not any(self._lacks(gateway))
 
         return ready
 
+    def _lacks(self, gateway: str) -> Iterator[str]:
+        """Yield what a gateway still waits for."""
+        try:
+            status = self.status(gateway)
+        except OSError as error:
+            yield f'no answer, {error}'
+            return
+        if not status['ready']:
+            yield 'it says that it is not'
+        targets = status['targets']
+        silent = [name for name, row in targets.items() if not row['alive']]
+        if silent:
+            yield f'silent targets {silent}'
+        peers = self.shape.gateways - 1
+        if len(status['peers']) != peers:
+            yield f'{len(status["peers"])} of {peers} peers'
+        held = chain.from_iterable(row['models'] for row in targets.values())
+        models = {model.name for model in self.shape.models}
+        unheld = sorted(models.difference(held))
+        if unheld:
+            yield f'models held nowhere {unheld}'
+
+    def _check_running(self) -> None:
+        for name, process in self.process_by_name.items():
+            if not process.running:
+                raise ProcessEndedError(f'{name} ended: {process.last_line()}')
+
     def _start_platform(self) -> None:
         self._launch(
             'log', 'verbenamux-standin', ['log'], declaring.log_settings(self)
@@ -196,7 +237,11 @@
             wait_until(self._listens(name), f'{name} to listen')
 
     def _listens(self, name: str) -> Callable[[], bool]:
-        return lambda: call('GET', f'{self.url(name)}/faults').status > 0
+        def listens() -> bool:
+            self._check_running()
+            return call('GET', f'{self.url(name)}/faults').status > 0
+
+        return listens
 
     def _launch(
         self,
--- a/libs/harness/src/verbenamux_harness/processes.py
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -78,6 +78,12 @@
         """Whether the process is there, frozen or not."""
         return self.popen is not None and self.popen.poll() is None
 
+    def last_line(self) -> str:
+        """Return the exit code and the last line that the process printed."""
+        code = None if self.popen is None else self.popen.returncode
+        lines = self.log_path.read_text(errors='replace').splitlines()
+        return f'code {code}, {lines[-1] if lines else "nothing printed"}'
+
     @property
     def pid(self) -> int:
         """The process id of a started process."""
@@ -90,6 +96,10 @@
             self.popen.send_signal(number)
 
 
+class ProcessEndedError(Exception):
+    """A process of a fleet ended by itself."""
+
+
 class NotStartedError(Exception):
     """A process was used before it was started."""
 
--- a/libs/harness/src/verbenamux_harness/proving.py
+++ b/libs/harness/src/verbenamux_harness/proving.py
@@ -1,6 +1,7 @@
 """Running all scenarios, each also without its mechanisms."""
 
 import tempfile
+import traceback
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 SHOWN_VIOLATIONS = 3
 FLEETS_AT_ONCE = 3
 EXPECTATIONS = 'expectations'
+TRACEBACK_FILE = 'error.txt'
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +46,16 @@
     mutant: MutantClause | None,
     folder: Path,
 ) -> ProofRow:
+    name = f'{scenario.name}-{mutant.mechanism}' if mutant else scenario.name
+    logs = _folder(folder, name)
+    try:
+        verdict = run_scenario(scenario, logs, mutant)
+    except Exception as error:
+        # Whatever ended this run, the table goes on to the others.
+        (logs / TRACEBACK_FILE).write_text(traceback.format_exc())
+        return _row_without_run(scenario, mutant, error, logs)
     if mutant is None:
-        verdict = run_scenario(scenario, _folder(folder, scenario.name))
         return _plain_row(scenario, verdict)
-    name = f'{scenario.name}-{mutant.mechanism}'
-    verdict = run_scenario(scenario, _folder(folder, name), mutant)
     return _mutant_row(scenario, verdict, mutant.breaks)
 
 
@@ -115,6 +122,23 @@
     )
 
 
+def _row_without_run(
+    scenario: Scenario,
+    mutant: MutantClause | None,
+    error: Exception,
+    logs: Path,
+) -> ProofRow:
+    """Return the row of a run without a verdict: never as it must be."""
+    text = ' '.join(str(error).split())
+    return ProofRow(
+        scenario.name,
+        (mutant.breaks,) if mutant else tuple(scenario.promises),
+        mutant.mechanism if mutant else '',
+        passed=False,
+        told=f'not run: {type(error).__name__}: {text}; logs: {logs}',
+    )
+
+
 def _outcomes(verdict: Verdict) -> str:
     counted = verdict.outcomes.most_common()
     return ', '.join(f'{outcome} {count}' for outcome, count in counted)
--- /dev/null
+++ b/tests/harness/test_proving.py
@@ -0,0 +1,78 @@
+"""The table of proofs when a run has no verdict."""
+
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from verbenamux_harness import proving
+from verbenamux_harness.cli import app
+from verbenamux_harness.language import Scenario, parse_scenarios
+from verbenamux_harness.runner import Verdict
+from verbenamux_harness.web import ConditionTimeoutError
+
+SCENARIOS = """
+scenario first
+  promise whole-answer
+  without resume at gateway-* breaks expectations
+
+scenario second
+  promise at-most-once
+"""
+# No gateway takes this length of time, so none starts.
+GATEWAYS_CANT_START = """
+scenario gateways-cant-start
+  promise whole-answer
+  fleet nakhla snapshots=never
+  load chat 5/s from counter
+  for 1s
+"""
+
+
+def run_but_for_the_first(
+    scenario: Scenario,
+    folder: Path,
+    *_: object,
+) -> Verdict:
+    if scenario.name == 'first':
+        raise ConditionTimeoutError('gateway-0 to be ready:\nno peers')
+    return Verdict(scenario.name)
+
+
+def test_a_run_without_a_verdict_is_a_red_row(
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+) -> None:
+    """It ended the table, and the rows behind it were never told."""
+    monkeypatch.setattr(proving, 'run_scenario', run_but_for_the_first)
+    scenarios = parse_scenarios(SCENARIOS)
+    rows = list(proving.prove(scenarios, tmp_path))
+    assert [(row.scenario, row.mutant, row.passed) for row in rows] == [
+        ('first', '', False),
+        ('first', 'resume', False),
+        ('second', '', True),
+    ]
+    cause = 'ConditionTimeoutError: gateway-0 to be ready: no peers'
+    for row in rows[:2]:
+        what, _, logs = row.told.partition('; logs: ')
+        assert what == f'not run: {cause}'
+        assert 'no peers' in (Path(logs) / 'error.txt').read_text()
+
+
+@pytest.mark.processes
+def test_a_fleet_that_cant_start_is_a_red_row(
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+) -> None:
+    """Its row names what ended, why, and where the logs are."""
+    monkeypatch.setattr('tempfile.tempdir', str(tmp_path))
+    scenarios = tmp_path / 'scenarios'
+    scenarios.mkdir()
+    (scenarios / 'one.scenario').write_text(GATEWAYS_CANT_START)
+    shown = CliRunner().invoke(app, ['prove', '--scenarios', str(scenarios)])
+    assert shown.exit_code == 1
+    row = shown.stdout.splitlines()[-1]
+    assert '| **not as it must be** | not run: ProcessEndedError: ' in row
+    assert 'gateway-0 ended: code 2, settings: $.snapshot_every' in row
+    logs = Path(row.partition('; logs: ')[2].rstrip(' |'))
+    assert 'settings' in (logs / 'gateway-0.log').read_text()
