Steps of a scenario wait for its load to begin

Seen: `make prove` beside four busy processes (load average about 40 on 8 cores, other work beside it): key-withdrawn-from-an-open-stream without key-checks, "nothing broke". Its logs: the withdrawal was in force at 10:57:24.6, the first request left at 10:57:25.8; all 23 streams were refused at once, so none was open. Cause: steps went by the time since the load tool was spawned, its history by the time since it began to send, and the checker compares the two. On a busy host the tool starts seconds late; violations were looked for that much too late as well. With no stream open at the withdrawal, a check while streams run has no part in it. Change: the load tool can write when it began (`--began`), by the monotonic clock that programs of one host share; a scenario's steps go by that. A load tool that ends before is an error with its code.

--- a/libs/harness/src/verbenamux_harness/runner.py
+++ b/libs/harness/src/verbenamux_harness/runner.py
@@ -1,6 +1,7 @@
 """Running one scenario: fleet, load, steps, evidence, verdict."""
 
 import fnmatch
+import subprocess
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -19,8 +20,9 @@
     MutantClause,
     Scenario,
 )
-from verbenamux_harness.processes import program, spawn
+from verbenamux_harness.processes import ProcessEndedError, program, spawn
 from verbenamux_harness.shapes import SHAPE_BY_NAME, FleetShape
+from verbenamux_harness.web import wait_until
 from verbenamux_load.checker import Violation, find_violations
 from verbenamux_load.evidence import (
     Evidence,
@@ -126,17 +128,20 @@
     plan = fleet.folder / 'load.json'
     history = fleet.folder / 'history.jsonl'
     plan.write_bytes(msgspec.json.encode(load_plan(scenario, fleet)))
-    started = time.monotonic()
-    stage = Stage(fleet, lambda: time.monotonic() - started)
+    began = fleet.folder / 'load.began'
     command = [
         program('verbenamux-load'),
         'run',
         str(plan),
         '--history',
         str(history),
+        '--began',
+        str(began),
     ]
     with (fleet.folder / 'load.log').open('ab') as log_file:
         load = spawn(command, log_file)
+    started = _sending_since(load, began)
+    stage = Stage(fleet, lambda: time.monotonic() - started)
     for step in sorted(scenario.steps, key=lambda step: step.at):
         time.sleep(max(0, step.at - stage.now()))
         stage.act(step)
@@ -145,6 +150,27 @@
     return stage, list(read_history(history))
 
 
+def _sending_since(load: subprocess.Popen[bytes], began: Path) -> float:
+    """Return when the load began, by the clock of this host's processes.
+
+    Steps and the load's history then have one clock, however long the load
+    tool takes to start.
+
+    Errors:
+        ConditionTimeoutError: it did not begin in time.
+        ProcessEndedError: it ended before.
+
+    """
+
+    def has_begun() -> bool:
+        if not began.exists() and load.poll() is not None:
+            raise ProcessEndedError(f'load ended: code {load.returncode}')
+        return began.exists()
+
+    wait_until(has_begun, 'load to begin')
+    return float(began.read_text())
+
+
 def load_plan(scenario: Scenario, fleet: Fleet) -> dict[str, Any]:
     """Return the load of a scenario as the load tool reads it."""
     return {
--- a/libs/load/src/verbenamux_load/cli.py
+++ b/libs/load/src/verbenamux_load/cli.py
@@ -30,6 +30,10 @@
 def run(
     plan: Path,
     history: Annotated[Path, typer.Option(help='where to write the history')],
+    began: Annotated[
+        Path | None,
+        typer.Option(help="file for the monotonic clock's seconds at time 0"),
+    ] = None,
 ) -> None:
     """Send the load of a plan, write its history, print a summary.
 
@@ -37,12 +41,21 @@
     """
     checked = load_or_exit(plan, LoadPlan)
     load = LoadRun(checked)
+    if began is not None:
+        _write_whole(began, f'{load.started}')
     load.run()
     load.history.write(history)
     for line in table(summarize(load.history.lines)):
         typer.echo(line)
 
 
+def _write_whole(path: Path, text: str) -> None:
+    """Write a file that others see in whole or not at all."""
+    draft = path.with_name(f'{path.name}.draft')
+    draft.write_text(text)
+    draft.replace(path)
+
+
 def main() -> None:
     """Run the console script."""
     app()
