Give two harness processes no port in common

Change: a process claims blocks of 200 ports by holding the first port of each; it gives out ports of its own blocks only, and again only when no block is left. Evidence: of 500 addresses drawn in each of three processes some were the same before (the new test failed); none now.

--- a/libs/harness/src/verbenamux_harness/processes.py
+++ b/libs/harness/src/verbenamux_harness/processes.py
@@ -6,9 +6,9 @@
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from itertools import cycle
 from pathlib import Path
 from typing import IO, Final
 
@@ -18,9 +18,52 @@
 STOP_SECONDS = 20
 # Below the range from which Linux gives out ports by itself.
 PORTS = range(10_000, 32_000)
-# All ports in one random order: a port that was given out is given to nobody
-# else for long, though nobody listens on it yet.
-_PORTS_IN_TURN = cycle(random.sample(PORTS, len(PORTS)))
+# Ports that a process of the harness claims at once; a fleet has some thirty.
+PORTS_PER_CLAIM = 200
+
+
+class _Claims:
+    """The ports that this process of the harness may give out.
+
+    A claim is the first port of a block, held for as long as the process
+    lives: another process of the harness (CI beside the proofs) gives out no
+    port of that block, though nobody may listen on it yet. Within the process
+    a port that was given out comes again only when no block is left.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._held: list[socket.socket] = []
+        self._fresh: list[int] = []
+        self._ours: list[int] = []
+
+    def next_port(self) -> int:
+        """Return a port of ours, new ones first.
+
+        Errors:
+            NoPortsError: other processes have claimed all of them.
+
+        """
+        with self._lock:
+            if not self._fresh:
+                self._fresh = self._claim() or list(self._ours)
+            if not self._fresh:
+                raise NoPortsError(f'all ports of {PORTS} are claimed')
+            return self._fresh.pop()
+
+    def _claim(self) -> list[int]:
+        firsts = PORTS[::PORTS_PER_CLAIM]
+        for first in random.sample(firsts, len(firsts)):
+            held = _bound(first)
+            if held is not None:
+                self._held.append(held)
+                block = list(range(first + 1, first + PORTS_PER_CLAIM))
+                self._ours += block
+                return block
+        return []
+
+
+_CLAIMS: Final = _Claims()
 
 
 @dataclass(slots=True)
@@ -100,6 +143,10 @@
     """A process of a fleet ended by itself."""
 
 
+class NoPortsError(Exception):
+    """No port is left for a fleet."""
+
+
 class NotStartedError(Exception):
     """A process was used before it was started."""
 
@@ -143,12 +190,18 @@
 
 
 def _bind_somewhere() -> socket.socket:
-    while True:
-        bound = socket.socket()
-        try:
-            bound.bind(('127.0.0.1', next(_PORTS_IN_TURN)))
-        except OSError:
-            # Somebody has this port; another one is tried.
-            bound.close()
-        else:
-            return bound
+    bound = None
+    while bound is None:
+        bound = _bound(_CLAIMS.next_port())
+    return bound
+
+
+def _bound(port: int) -> socket.socket | None:
+    """Return a socket bound to a port, or None when somebody has it."""
+    bound = socket.socket()
+    try:
+        bound.bind(('127.0.0.1', port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
--- a/tests/harness/test_processes.py
+++ b/tests/harness/test_processes.py
@@ -32,6 +32,24 @@
     assert len(set(addresses)) == len(addresses)
 
 
+def test_processes_of_the_harness_get_different_addresses():
+    """CI beside the proofs: both drew from the same range of ports."""
+    script = (
+        'from verbenamux_harness.processes import free_addresses\n'
+        'print(*free_addresses(500), flush=True)\n'
+        'input()\n'
+    )
+    command = [sys.executable, '-c', script]
+    pipes = {'stdin': subprocess.PIPE, 'stdout': subprocess.PIPE}
+    programs = [subprocess.Popen(command, **pipes) for _ in range(3)]
+    fleets = [program.stdout.readline().split() for program in programs]
+    for program in programs:
+        program.communicate(b'\n')
+    addresses = [address for fleet in fleets for address in fleet]
+    assert [len(fleet) for fleet in fleets] == [500] * 3
+    assert len(set(addresses)) == len(addresses)
+
+
 def test_a_port_in_use_is_passed_over():
     with socket.socket() as taken:
         taken.bind(('127.0.0.1', int(free_addresses(1)[0].rpartition(':')[2])))
