Bound what frames an answer: heads, interim answers, trailers

A target may send a head without end; the gateway would gather its fields until its memory limit kills it, and every request it held would end without an answer.

Cause: ResponseParser bounded neither a head's bytes nor its fields, nor interim answers, chunk extensions or trailers; httptools gathers a field that does not end.

Change: at most FRAMING_BYTES_MOST (64 KiB) in a row that bring no byte of a body. An answer over it is Fault.TOO_LARGE, so its send is UNKNOWN, the connection is closed and the target doubted.

Evidence: six new cases of test_what_frames_an_answer_may_not_go_on_without_end (status line, one field, fields, interim answers, chunk extension, trailers); each failed before (DID NOT RAISE) and passes now. A head of 1000 fields with a chunked body of 400 KiB still passes.

--- a/libs/http/src/verbenamux_http/errors.py
+++ b/libs/http/src/verbenamux_http/errors.py
@@ -11,12 +11,14 @@
     TIMED_OUT: the peer did not answer in time.
     BROKEN: the connection ended before the answer did.
     MALFORMED: the peer sent bytes that are no answer.
+    TOO_LARGE: the peer sent more bytes than an answer may need.
     """
 
     UNSENT = 'unsent'
     TIMED_OUT = 'timed_out'
     BROKEN = 'broken'
     MALFORMED = 'malformed'
+    TOO_LARGE = 'too_large'
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -18,6 +18,10 @@
 HEADERS_TOO_LARGE = 431
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
+# The most bytes in a row that bring no byte of a body: heads, interim
+# answers, chunk sizes, trailers. Four times what a caller's head may have
+# by default (`max_header_bytes`); an answer echoes fields and adds a few.
+FRAMING_BYTES_MOST = 65536
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,12 +193,36 @@
         self.has_surplus = False
         self._parser = httptools.HttpResponseParser(self)
         self._collected = _HeadCollector()
+        self._framing_bytes = 0
+        self._has_news = False
 
     def feed(self, received: bytes) -> None:
-        """Parse more bytes; raises ExchangeFailure when they are malformed."""
+        """Parse more bytes.
+
+        Raises ExchangeFailure when they are malformed, or frame an answer
+        without end.
+        """
         if self.is_complete:
             self.has_surplus = self.has_surplus or bool(received)
             return
+        self._has_news = False
+        self._parse(received)
+        # Counted by what arrives: the parser holds a field until it is whole.
+        self._framing_bytes += len(received)
+        if self._has_news:
+            self._framing_bytes = 0
+        if self._framing_bytes > FRAMING_BYTES_MOST:
+            raise ExchangeFailure(
+                Fault.TOO_LARGE,
+                f'{self._framing_bytes} bytes in a row without a body',
+            )
+
+    def finish(self) -> None:
+        """Take the peer's close as the end, where the answer allows it."""
+        if self.head is not None and self.head.ends_with_connection:
+            self.is_complete = True
+
+    def _parse(self, received: bytes) -> None:
         try:
             self._parser.feed_data(received)
         except (
@@ -208,11 +236,6 @@
                 ) from error
             self.has_surplus = True
 
-    def finish(self) -> None:
-        """Take the peer's close as the end, where the answer allows it."""
-        if self.head is not None and self.head.ends_with_connection:
-            self.is_complete = True
-
     def on_message_begin(self) -> None:
         """Note a second answer behind the first."""
         if self.is_complete:
@@ -245,13 +268,16 @@
             keeps_connection=is_framed and self._parser.should_keep_alive(),
             ends_with_connection=not is_framed,
         )
+        self._has_news = True
 
     def on_body(self, piece: bytes) -> None:
         """Queue a piece of the body."""
         if not self.is_complete:
             self.pieces.append(piece)
+            self._has_news = True
 
     def on_message_complete(self) -> None:
         """Note the end of a final answer."""
         if self.head is not None:
             self.is_complete = True
+            self._has_news = True
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies as st
 
 from verbenamux_http.errors import ExchangeFailure, Fault, RequestError
-from verbenamux_http.parsing import RequestParser, ResponseParser, SizeLimits
+from verbenamux_http.parsing import (
+    FRAMING_BYTES_MOST,
+    RequestParser,
+    ResponseParser,
+    SizeLimits,
+)
 
 LIMITS = SizeLimits(header_bytes=400, body_bytes=100)
 POST = b'POST /a/b?c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello'
@@ -15,6 +20,7 @@
     b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
     b'2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n'
 )
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
 
 
@@ -128,3 +134,36 @@
         parser.feed(noise)
     except ExchangeFailure as failure:
         assert failure.fault is Fault.MALFORMED
+
+
+@pytest.mark.parametrize(
+    ('start', 'endless'),
+    [
+        (b'HTTP/1.1 200 ', b'O' * 4096),
+        (b'HTTP/1.1 200 OK\r\nA: ', b'x' * 4096),
+        (b'HTTP/1.1 200 OK\r\n', b'Name: field\r\n' * 400),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 200),
+        (CHUNKED_HEAD + b'5;a=', b'x' * 4096),
+        (CHUNKED_HEAD + b'0\r\n', b'Name: field\r\n' * 400),
+    ],
+    ids=['status', 'field', 'fields', 'interim', 'extension', 'trailers'],
+)
+def test_what_frames_an_answer_may_not_go_on_without_end(start, endless):
+    parser = ResponseParser()
+    parser.feed(start)
+    with pytest.raises(ExchangeFailure) as raised:
+        for _ in range(2 * FRAMING_BYTES_MOST // len(endless)):
+            parser.feed(endless)
+    assert raised.value.fault is Fault.TOO_LARGE
+
+
+def test_a_long_head_and_a_longer_body_are_an_answer():
+    """What legitimate answers need is far from the limit."""
+    fields = b'Name: field\r\n' * 1000
+    parser = ResponseParser()
+    parser.feed(CHUNKED_HEAD[:-2] + fields + b'\r\n')
+    for _ in range(100):
+        parser.feed(b'1000\r\n' + b'x' * 4096 + b'\r\n')
+    parser.feed(b'0\r\n\r\n')
+    assert parser.is_complete
+    assert sum(map(len, parser.pieces)) == 100 * 4096
