Give each read of an answer a deadline, not a time per receive

A target that sends a byte of a head each 50 ms held its request past the deadline, without end.

Cause: read_head and read_piece waited the whole time again after each receive, whatever it had brought; call() gave each piece of a body the whole time again.

Change: a read has a moment by which it brings a head, or a byte of the body. Waiting in silence is as long as before.

A slow body is still read (test_a_body_that_takes_longer_than_one_wait_is_read).

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -21,6 +21,9 @@
 IDLE_MARGIN = timedelta(milliseconds=900)
 # The kernel gives up on data that stays unacknowledged for this long.
 UNACKNOWLEDGED_MOST = timedelta(seconds=3)
+# How long the body of a call's answer may take as a whole: thrice what a
+# page of the store (1 MB) needs on the slowest link (5 Mbit/s).
+BODY_TIME = timedelta(seconds=5)
 
 Address = tuple[str, int]
 Elapsed = Callable[[], timedelta]
@@ -53,7 +56,11 @@
     return host, int(port)
 
 
-def connect(address: Address, timeout: timedelta) -> 'Connection':
+def connect(
+    address: Address,
+    timeout: timedelta,
+    elapsed: Elapsed,
+) -> 'Connection':
     """Open a connection; raises ExchangeFailure, with nothing sent."""
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -67,7 +74,7 @@
     except BaseException:
         opened.close()
         raise
-    return Connection(opened)
+    return Connection(opened, elapsed)
 
 
 def _establish(
@@ -89,11 +96,12 @@
 class Connection:
     """One connection to a peer."""
 
-    def __init__(self, opened: socket.socket) -> None:
-        """Take over an open socket."""
+    def __init__(self, opened: socket.socket, elapsed: Elapsed) -> None:
+        """Take over an open socket; `elapsed` is a monotonic clock."""
         self.idle_since = timedelta()
         self.idle_most = DEFAULT_IDLE
         self._socket = opened
+        self._elapsed = elapsed
 
     def close(self) -> None:
         """Close the socket, which tells the peer to drop its work."""
@@ -116,7 +124,7 @@
 
         Raises ExchangeFailure; BROKEN when bytes may have arrived.
         """
-        return Exchange(self, self._socket, outgoing)
+        return Exchange(self, self._socket, self._elapsed, outgoing)
 
 
 class Exchange:
@@ -126,11 +134,13 @@
         self,
         connection: Connection,
         opened: socket.socket,
+        elapsed: Elapsed,
         outgoing: Outgoing,
     ) -> None:
         """Send the request; a long body goes out beside the answer."""
         self.connection = connection
         self._socket = opened
+        self._elapsed = elapsed
         self._parser = ResponseParser()
         self._sent = Event()
         self._sender: Greenlet | None = None
@@ -141,25 +151,34 @@
             self._send(outgoing.encoded_head())
             self._sender = spawn(self._send_body, outgoing.body)
 
-    def read_head(self, timeout: timedelta | None) -> ResponseHead:
-        """Wait for the answer's head; raises ExchangeFailure."""
+    def read_head(self, timeout: timedelta) -> ResponseHead:
+        """Wait for the answer's head; raises ExchangeFailure.
+
+        Bytes of a head that is not whole do not renew the time.
+        """
+        deadline = self._elapsed() + timeout
         while self._parser.head is None:
-            self._receive(timeout)
+            self._receive(deadline)
         return self._parser.head
 
-    def read_piece(self, timeout: timedelta | None) -> bytes | None:
+    def read_piece(self, timeout: timedelta) -> bytes | None:
         """Wait for more of the body; None is its end.
 
-        Raises ExchangeFailure when the body breaks off.
+        Bytes that bring none of the body do not renew the time. Raises
+        ExchangeFailure when the body breaks off.
         """
+        deadline = self._elapsed() + timeout
         while not self._parser.pieces:
             if self._parser.is_complete:
                 return None
-            self._receive(timeout)
+            self._receive(deadline)
         return self._parser.pieces.popleft()
 
     def read_body(self, remaining: Callable[[], timedelta]) -> bytes:
-        """Return the whole body; raises ExchangeFailure."""
+        """Return the whole body; raises ExchangeFailure.
+
+        `remaining` gives the time for each piece of it; it has to run out.
+        """
         return b''.join(self._pieces(remaining))
 
     def is_reusable(self) -> bool:
@@ -213,9 +232,9 @@
             return
         self._sent.set()
 
-    def _receive(self, timeout: timedelta | None) -> None:
-        seconds = None if timeout is None else timeout.total_seconds()
-        if seconds is not None and seconds <= 0:
+    def _receive(self, deadline: timedelta) -> None:
+        seconds = (deadline - self._elapsed()).total_seconds()
+        if seconds <= 0:
             raise ExchangeFailure(Fault.TIMED_OUT, 'no time left to wait')
         self._socket.settimeout(seconds)
         try:
@@ -234,7 +253,7 @@
 
 def _receive_failure(
     error: OSError,
-    seconds: float | None,
+    seconds: float,
 ) -> ExchangeFailure:
     if isinstance(error, TimeoutError):
         return ExchangeFailure(Fault.TIMED_OUT, f'no answer for {seconds} s')
@@ -246,7 +265,7 @@
 
     def __init__(self, elapsed: Elapsed) -> None:
         """Start without connections; `elapsed` is a monotonic clock."""
-        self._elapsed = elapsed
+        self.elapsed = elapsed
         self._idle_by_address: dict[Address, deque[Connection]] = {}
 
     def take(
@@ -263,14 +282,14 @@
         idle = self._idle_by_address.get(address, deque())
         while idle:
             connection = idle.pop()
-            idle_for = self._elapsed() - connection.idle_since
+            idle_for = self.elapsed() - connection.idle_since
             limit = connection.idle_most
             if idle_most is not None:
                 limit = min(limit, idle_most)
             if idle_for < limit and connection.is_quiet():
                 return connection
             connection.close()
-        return connect(address, connect_timeout)
+        return connect(address, connect_timeout, self.elapsed)
 
     def give_back(self, address: Address, exchange: Exchange) -> None:
         """Keep the connection of a finished exchange, if it is in order."""
@@ -278,7 +297,7 @@
             exchange.close()
             return
         connection = exchange.connection
-        connection.idle_since = self._elapsed()
+        connection.idle_since = self.elapsed()
         connection.idle_most = exchange.stated_idle()
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
@@ -293,7 +312,7 @@
 
     def drop_idle(self) -> None:
         """Close connections whose idle time ran out."""
-        now = self._elapsed()
+        now = self.elapsed()
         for address, idle in list(self._idle_by_address.items()):
             while idle and now - idle[0].idle_since >= idle[0].idle_most:
                 idle.popleft().close()
@@ -306,10 +325,13 @@
     address: Address,
     outgoing: Outgoing,
     timeout: timedelta,
+    body_time: timedelta = BODY_TIME,
 ) -> tuple[ResponseHead, bytes]:
     """Make one bounded call and return its whole answer.
 
-    Raises ExchangeFailure. The peer may have acted unless it is UNSENT.
+    `timeout` is for the head, then for each piece of the body, and
+    `body_time` for the whole body. Raises ExchangeFailure. The peer may
+    have acted unless it is UNSENT.
     """
     connection = pool.take(address, timeout)
     try:
@@ -319,7 +341,10 @@
         raise
     try:
         head = exchange.read_head(timeout)
-        body = exchange.read_body(lambda: timeout)
+        body_by = pool.elapsed() + body_time
+        body = exchange.read_body(
+            lambda: min(timeout, body_by - pool.elapsed()),
+        )
     except BaseException:
         exchange.close()
         raise
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,10 +1,12 @@
 """Connections to targets that answer early, twice, half or not at all."""
 
+import contextlib
 from datetime import timedelta
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import ManualClock, SystemClock
@@ -19,6 +21,8 @@
 
 SOON = timedelta(milliseconds=300)
 HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+LONG_BODY = b'HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n'
 GET = Outgoing('GET', '/', Headers((('Host', 'h'),)))
 
 
@@ -42,6 +46,26 @@
                 return
 
 
+class EndlessTarget(Target):
+    """A server that sends a start, then a piece again and again."""
+
+    def __init__(self, start, piece, pause):
+        self.start = start
+        self.piece = piece
+        self.pause = pause
+        self.was_closed = Event()
+        super().__init__(start)
+
+    def serve(self, opened, _peer):
+        opened.recv(65536)
+        with contextlib.suppress(OSError):
+            opened.sendall(self.start)
+            while True:
+                gevent.sleep(self.pause)
+                opened.sendall(self.piece)
+        self.was_closed.set()
+
+
 @pytest.fixture
 def pool():
     return ConnectionPool(SystemClock().elapsed)
@@ -131,6 +155,51 @@
     assert not pool._idle_by_address.get(target.address)
 
 
+@pytest.mark.parametrize(
+    ('start', 'trickle'),
+    [
+        (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (CHUNKED + b'5;a=', b'x'),
+    ],
+    ids=['head', 'interim', 'extension'],
+)
+def test_a_trickle_that_brings_nothing_does_not_renew_the_wait(
+    pool,
+    start,
+    trickle,
+):
+    target = EndlessTarget(start, trickle, 0.05)
+    with (
+        gevent.Timeout(2),
+        pytest.raises(ExchangeFailure) as raised,
+    ):
+        call(pool, target.address, GET, SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    assert target.was_closed.wait(1)
+
+
+def test_a_call_ends_although_its_body_goes_on(pool):
+    target = EndlessTarget(LONG_BODY, b'x', 0.05)
+    with (
+        gevent.Timeout(2),
+        pytest.raises(ExchangeFailure) as raised,
+    ):
+        call(pool, target.address, GET, SOON, body_time=2 * SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    assert target.was_closed.wait(1)
+
+
+def test_a_body_that_takes_longer_than_one_wait_is_read(pool):
+    """A page of the store on a slow link: no pause, but a long way."""
+    target = EndlessTarget(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n',
+        b'x',
+        0.05,
+    )
+    assert call(pool, target.address, GET, SOON)[1] == b'x' * 10
+
+
 @pytest.mark.parametrize('text', ['', 'a', 'host:80', '1.2.3.4', '1.2.3:x'])
 def test_bad_addresses_are_refused(text):
     with pytest.raises((ValueError, OSError)):
