Bound the memory of whole answers, each and together

A target that sends a body without end makes the gateway gather it until the memory limit kills the process, with all the requests it holds.

Cause: a whole answer was gathered without a limit, until the deadline.

Change: all bodies that are read whole share ROOM_BYTES (32 MiB) of a pool's process; each may hold FREE_BODY_BYTES (1 MiB) however full the room is, so that one endless body fails no usual answer. So a plain service's body is bounded by a generous limit and not passed on in pieces: eight times a caller's largest request by default. A body over it is Fault.TOO_LARGE: UNKNOWN, closed, doubted, repeated where allowed. The body is gathered in one buffer: many small chunks cost no memory of their own, and no copy is made at the end. Not counted: answers that were read and are being written to a slow caller.

New tests: test_a_body_without_end_leaves_memory_to_others, test_bodies_share_room_but_for_a_small_part_of_each, test_room_is_given_back_with_each_body, and test_a_large_body_is_an_answer (16 MB pass).

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from io import BytesIO
 
 from gevent import Greenlet, socket, spawn
 from gevent.event import Event
@@ -21,6 +22,12 @@
 IDLE_MARGIN = timedelta(milliseconds=900)
 # The kernel gives up on data that stays unacknowledged for this long.
 UNACKNOWLEDGED_MOST = timedelta(seconds=3)
+# All whole bodies that are being read hold this many bytes together: eight
+# times a caller's largest request by default, a sixth of the memory of the
+# smallest machine (200 MB), as an answer is copied once when it is sent.
+ROOM_BYTES = 32 * 1024 * 1024
+# What each body may hold however full the room is: a page of the store.
+FREE_BODY_BYTES = 1024 * 1024
 # How long the body of a call's answer may take as a whole: thrice what a
 # page of the store (1 MB) needs on the slowest link (5 Mbit/s).
 BODY_TIME = timedelta(seconds=5)
@@ -56,10 +63,47 @@
     return host, int(port)
 
 
+class BodyRoom:
+    """Room in memory that bodies share while they are read.
+
+    It bounds each body too: one without end fails, and the others go on.
+    """
+
+    def __init__(self, most: int = ROOM_BYTES) -> None:
+        """Start empty; `most` is in bytes."""
+        self.held = 0
+        self._most = most
+
+    def take(self, so_far: int, more: int) -> None:
+        """Take room for more bytes of a body that holds `so_far`.
+
+        Raises ExchangeFailure when there is none, and takes none then.
+        """
+        is_large = so_far + more > FREE_BODY_BYTES
+        if is_large and self.held + more > self._most:
+            raise ExchangeFailure(
+                Fault.TOO_LARGE,
+                f'no room for a body of over {so_far} bytes',
+            )
+        self.held += more
+
+    def give_back(self, size: int) -> None:
+        """Free the room of a body of that size."""
+        self.held -= size
+
+
+@dataclass(frozen=True, slots=True)
+class ReadTools:
+    """What reading answers needs: a monotonic clock, room for bodies."""
+
+    elapsed: Elapsed
+    room: BodyRoom
+
+
 def connect(
     address: Address,
     timeout: timedelta,
-    elapsed: Elapsed,
+    tools: ReadTools,
 ) -> 'Connection':
     """Open a connection; raises ExchangeFailure, with nothing sent."""
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -74,7 +118,7 @@
     except BaseException:
         opened.close()
         raise
-    return Connection(opened, elapsed)
+    return Connection(opened, tools)
 
 
 def _establish(
@@ -96,12 +140,12 @@
 class Connection:
     """One connection to a peer."""
 
-    def __init__(self, opened: socket.socket, elapsed: Elapsed) -> None:
-        """Take over an open socket; `elapsed` is a monotonic clock."""
+    def __init__(self, opened: socket.socket, tools: ReadTools) -> None:
+        """Take over an open socket."""
         self.idle_since = timedelta()
         self.idle_most = DEFAULT_IDLE
         self._socket = opened
-        self._elapsed = elapsed
+        self._tools = tools
 
     def close(self) -> None:
         """Close the socket, which tells the peer to drop its work."""
@@ -124,7 +168,7 @@
 
         Raises ExchangeFailure; BROKEN when bytes may have arrived.
         """
-        return Exchange(self, self._socket, self._elapsed, outgoing)
+        return Exchange(self, self._socket, self._tools, outgoing)
 
 
 class Exchange:
@@ -134,13 +178,13 @@
         self,
         connection: Connection,
         opened: socket.socket,
-        elapsed: Elapsed,
+        tools: ReadTools,
         outgoing: Outgoing,
     ) -> None:
         """Send the request; a long body goes out beside the answer."""
         self.connection = connection
         self._socket = opened
-        self._elapsed = elapsed
+        self._tools = tools
         self._parser = ResponseParser()
         self._sent = Event()
         self._sender: Greenlet | None = None
@@ -156,7 +200,7 @@
 
         Bytes of a head that is not whole do not renew the time.
         """
-        deadline = self._elapsed() + timeout
+        deadline = self._tools.elapsed() + timeout
         while self._parser.head is None:
             self._receive(deadline)
         return self._parser.head
@@ -167,7 +211,7 @@
         Bytes that bring none of the body do not renew the time. Raises
         ExchangeFailure when the body breaks off.
         """
-        deadline = self._elapsed() + timeout
+        deadline = self._tools.elapsed() + timeout
         while not self._parser.pieces:
             if self._parser.is_complete:
                 return None
@@ -179,7 +223,14 @@
 
         `remaining` gives the time for each piece of it; it has to run out.
         """
-        return b''.join(self._pieces(remaining))
+        body = BytesIO()
+        try:
+            for piece in self._pieces(remaining):
+                self._tools.room.take(body.tell(), len(piece))
+                body.write(piece)
+        finally:
+            self._tools.room.give_back(body.tell())
+        return body.getvalue()
 
     def is_reusable(self) -> bool:
         """Tell whether the connection may carry another request.
@@ -233,7 +284,7 @@
         self._sent.set()
 
     def _receive(self, deadline: timedelta) -> None:
-        seconds = (deadline - self._elapsed()).total_seconds()
+        seconds = (deadline - self._tools.elapsed()).total_seconds()
         if seconds <= 0:
             raise ExchangeFailure(Fault.TIMED_OUT, 'no time left to wait')
         self._socket.settimeout(seconds)
@@ -263,9 +314,14 @@
 class ConnectionPool:
     """Idle connections by address, newest first."""
 
-    def __init__(self, elapsed: Elapsed) -> None:
+    def __init__(
+        self,
+        elapsed: Elapsed,
+        room: BodyRoom | None = None,
+    ) -> None:
         """Start without connections; `elapsed` is a monotonic clock."""
         self.elapsed = elapsed
+        self._read_tools = ReadTools(elapsed, room or BodyRoom())
         self._idle_by_address: dict[Address, deque[Connection]] = {}
 
     def take(
@@ -289,7 +345,7 @@
             if idle_for < limit and connection.is_quiet():
                 return connection
             connection.close()
-        return connect(address, connect_timeout, self.elapsed)
+        return connect(address, connect_timeout, self._read_tools)
 
     def give_back(self, address: Address, exchange: Exchange) -> None:
         """Keep the connection of a finished exchange, if it is in order."""
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -10,7 +10,9 @@
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import ManualClock, SystemClock
+from verbenamux_http import client
 from verbenamux_http.client import (
+    BodyRoom,
     ConnectionPool,
     Outgoing,
     call,
@@ -22,6 +24,7 @@
 SOON = timedelta(milliseconds=300)
 HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+ROOM = 4_000_000
 LONG_BODY = b'HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n'
 GET = Outgoing('GET', '/', Headers((('Host', 'h'),)))
 
@@ -200,6 +203,48 @@
     assert call(pool, target.address, GET, SOON)[1] == b'x' * 10
 
 
+def test_a_body_without_end_leaves_memory_to_others():
+    pool = ConnectionPool(SystemClock().elapsed, BodyRoom(ROOM))
+    target = EndlessTarget(LONG_BODY, b'x' * 65536, 0.001)
+    with gevent.Timeout(3), pytest.raises(ExchangeFailure) as raised:
+        call(pool, target.address, GET, SOON)
+    assert raised.value.fault is Fault.TOO_LARGE
+    assert target.was_closed.wait(1)
+
+
+def test_bodies_share_room_but_for_a_small_part_of_each(monkeypatch):
+    """What one target sends without end fails no other's answer."""
+    monkeypatch.setattr(client, 'FREE_BODY_BYTES', 100)
+    room = BodyRoom(ROOM)
+    room.take(0, ROOM)
+    room.take(0, 100)
+    with pytest.raises(ExchangeFailure):
+        room.take(100, 1)
+    room.give_back(ROOM)
+    room.take(100, 1)
+
+
+def test_room_is_given_back_with_each_body():
+    room = BodyRoom(ROOM)
+    pool = ConnectionPool(SystemClock().elapsed, room)
+    target = Target(HELLO, HELLO[:-1], HELLO)
+    for answer in (b'hello', None, b'hello'):
+        if answer is None:
+            with pytest.raises(ExchangeFailure):
+                call(pool, target.address, GET, SOON)
+        else:
+            assert call(pool, target.address, GET, SOON)[1] == answer
+        assert not room.held
+
+
+def test_a_large_body_is_an_answer(pool):
+    """A plain service's body may be several times a caller's largest."""
+    body = b'x' * 16_000_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    target = Target(head + body)
+    assert call(pool, target.address, GET, SOON)[1] == body
+
+
 @pytest.mark.parametrize('text', ['', 'a', 'host:80', '1.2.3.4', '1.2.3:x'])
 def test_bad_addresses_are_refused(text):
     with pytest.raises((ValueError, OSError)):
