Bound a stream's event, and let only whole events renew patience

A target that sends an event without end made the gateway gather it; a trickle of its bytes kept a stream that could go on elsewhere until its deadline.

Cause: EventSplitter bounded nothing, and searched and copied all it held with each further piece: an event of 1 MiB in pieces of 8 bytes was not done after 120 s, in which the process did nothing else. Each piece renewed the wait between two events and the target's sign of life.

Change: an event has EVENT_BYTES_MOST (1 MiB); each byte is searched once; heads and whole events are news, other bytes are not. Time in which an event is passed to a slow caller does not count as the target's silence (test_a_slow_caller_is_no_silent_target, passed before too).

--- a/libs/relay/src/verbenamux_relay/events.py
+++ b/libs/relay/src/verbenamux_relay/events.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from verbenamux_http.errors import ExchangeFailure, Fault
+
 BOUNDARIES = (b'\n\n', b'\r\n\r\n')
+BOUNDARY_BYTES_MOST = max(map(len, BOUNDARIES))
+# The most bytes of one event. It holds a few tokens of some bytes each; this
+# is a quarter of a caller's largest request by default.
+EVENT_BYTES_MOST = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,33 +25,45 @@
 
     def __init__(self) -> None:
         """Start before the first event."""
-        self._rest = b''
+        self._rest = bytearray()
+        # How many bytes of the rest hold no boundary.
+        self._searched = 0
 
     def feed(self, piece: bytes) -> Iterator[StreamEvent]:
-        """Yield every event that is whole now."""
+        """Yield every event that is whole now.
+
+        Raises ExchangeFailure when the one behind them has no end.
+        """
         self._rest += piece
-        while True:
-            end = _first_boundary(self._rest)
-            if end is None:
-                return
-            encoded = self._rest[:end]
-            self._rest = self._rest[end:]
+        end = _first_boundary(self._rest, self._searched)
+        while end is not None:
+            encoded = bytes(self._rest[:end])
+            del self._rest[:end]
             yield StreamEvent(encoded, _event_id(encoded))
+            end = _first_boundary(self._rest, 0)
+        self._searched = max(0, len(self._rest) - BOUNDARY_BYTES_MOST)
+        if len(self._rest) > EVENT_BYTES_MOST:
+            raise ExchangeFailure(
+                Fault.TOO_LARGE,
+                f'an event of over {EVENT_BYTES_MOST} bytes',
+            )
 
     def take_rest(self) -> bytes:
         """Return the bytes behind the last whole event."""
-        rest = self._rest
-        self._rest = b''
+        rest = bytes(self._rest)
+        self._rest.clear()
+        self._searched = 0
         return rest
 
 
-def _first_boundary(encoded: bytes) -> int | None:
-    ends = [
-        found + len(boundary)
-        for boundary in BOUNDARIES
-        if (found := encoded.find(boundary)) >= 0
-    ]
-    return min(ends, default=None)
+def _first_boundary(encoded: bytearray, start: int) -> int | None:
+    """Return where the first boundary behind `start` ends."""
+    end = None
+    for boundary in BOUNDARIES:
+        found = encoded.find(boundary, start, end)
+        if found >= 0:
+            end = found + len(boundary)
+    return end
 
 
 def _event_id(encoded: bytes) -> str | None:
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -174,7 +174,7 @@
 
 def _follow(sent: Send, exchange: Exchange) -> Outcome:
     """Read the answer and decide what it is worth."""
-    head = _await(sent, lambda: exchange.read_head(_patience(sent)))
+    head = _await(sent, exchange.read_head, sent.tools.clock.elapsed())
     sent.note_heard()
     terms = sent.tools.dialect.read_answer(head)
     _note_load(sent, terms)
@@ -259,15 +259,15 @@
     head: ResponseHead,
     splitter: EventSplitter,
 ) -> None:
-    def read() -> bytes | None:
-        return exchange.read_piece(_patience(sent))
-
-    piece = _await(sent, read)
+    since = sent.tools.clock.elapsed()
+    piece = _await(sent, exchange.read_piece, since)
     while piece is not None:
-        sent.note_heard()
         for event in splitter.feed(piece):
+            sent.note_heard()
             _pass_event(sent, head, event)
-        piece = _await(sent, read)
+            # Not before it is passed on: a slow caller is no silent target.
+            since = sent.tools.clock.elapsed()
+        piece = _await(sent, exchange.read_piece, since)
 
 
 def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
@@ -287,30 +287,37 @@
         reply.start(head.status, head.headers.end_to_end(kept))
 
 
-def _patience(sent: Send) -> timedelta:
-    """Return how long to wait for the next bytes."""
+def _patience(sent: Send, since: timedelta) -> timedelta:
+    """Return how long to wait on, after a wait for news since then."""
     route = sent.job.route
     left = sent.time_left()
     if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
         return left
-    if sent.in_flight.is_started:
-        return min(left, GAP_PATIENCE)
     patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
-    return min(left, patience)
+    if sent.in_flight.is_started:
+        patience = GAP_PATIENCE
+    return min(left, since + patience - sent.tools.clock.elapsed())
 
 
-def _await(sent: Send, read: Callable[[], Received]) -> Received:
+def _await(
+    sent: Send,
+    read: Callable[[timedelta], Received],
+    since: timedelta,
+) -> Received:
     """Read with patience, and on while the target answers others.
 
-    A busy target is late for all; to break off there and send anew would
-    only add to its work.
+    Bytes of a head or of an event that is not whole are no news; `since` is
+    when the last news was passed on, or the request was sent. A busy target
+    is late for all; to break off there and send anew would only add to its
+    work.
     """
     while True:
         try:
-            return read()
+            return read(_patience(sent, since))
         except ExchangeFailure as failure:
             if _is_final(sent, failure):
                 raise
+        since = sent.tools.clock.elapsed()
 
 
 def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1,15 +1,18 @@
 """One request through a gateway to targets over real sockets on loopback."""
 
+import contextlib
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 from random import Random
 
 import gevent
 import pytest
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_http.client import ConnectionPool
+from verbenamux_http.client import BodyRoom, ConnectionPool
 from verbenamux_http.errors import CallerGone
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
@@ -32,7 +35,7 @@
 from verbenamux_relay.prompts import PromptMemory
 from verbenamux_relay.relaying import RelayTools, relay
 from verbenamux_relay.repeats import RepeatBudget
-from verbenamux_relay.sending import SendTools
+from verbenamux_relay.sending import GAP_PATIENCE, SendTools
 from verbenamux_relay.settling import Knowledge, SettleTools
 from verbenamux_relay.targets import TargetBook, TargetEntry
 from verbenamux_runtime.metrics import Metrics
@@ -84,6 +87,26 @@
         return True
 
 
+class EndlessTarget(FakeTarget):
+    """A target that sends a start, then a piece until its caller closes."""
+
+    def __init__(self, start, piece, pause):
+        super().__init__()
+        self.start = start
+        self.piece = piece
+        self.pause = pause
+        self.was_closed = Event()
+
+    def answer(self, opened):
+        with contextlib.suppress(OSError):
+            opened.sendall(self.start)
+            while True:
+                gevent.sleep(self.pause)
+                opened.sendall(self.piece)
+        self.was_closed.set()
+        return False
+
+
 class FakeReply:
     """Collects what a caller would get."""
 
@@ -164,7 +187,7 @@
     def tools(self):
         dialect = platform_dialect()
         clock = self.clock
-        pool = ConnectionPool(clock.elapsed)
+        pool = ConnectionPool(clock.elapsed, BodyRoom(4_000_000))
 
         def on_first_event(job, _target, sent):
             sent.is_started = True
@@ -459,3 +482,130 @@
     world = World(FakeTarget(DONE))
     assert world.ask(header).status == 400
     assert not world.sent()
+
+
+TRICKLE = 0.05
+FLOOD = 0.0005
+BLOCK = b'x' * 65536
+BIG_CHUNK = b'10000\r\n%b\r\n' % BLOCK
+CHUNKS_HEAD = DONE[: DONE.index(b'Content')] + (
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+PLAIN_HEAD = DONE[: DONE.index(b'Content')] + b'\r\n'
+LONG_HEAD = DONE.replace(b'4\r\n\r\ndone', b'9000000000\r\n\r\n')
+WHOLE_STREAM = [STREAM_HEAD, event(1), event(2), b'0\r\n\r\n']
+WITHOUT_END = {
+    'head': (b'HTTP/1.1 200 OK\r\nA: ', BLOCK, FLOOD),
+    'head-trickle': (b'HTTP/1.1 200 OK\r\nA: ', b'x', TRICKLE),
+    'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 500, FLOOD),
+    'interim-trickle': (b'', b'HTTP/1.1 100 Continue\r\n\r\n', TRICKLE),
+}
+BODIES_WITHOUT_END = {
+    'length': (LONG_HEAD, BLOCK, FLOOD),
+    'chunked': (CHUNKS_HEAD, BIG_CHUNK, FLOOD),
+    'until-close': (PLAIN_HEAD, BLOCK, FLOOD),
+}
+STREAMS_WITHOUT_END = {
+    'event': (STREAM_HEAD, BIG_CHUNK, FLOOD),
+    'event-trickle': (STREAM_HEAD, b'1\r\nx\r\n', TRICKLE),
+}
+
+
+def endless_first(spec, rest, **terms):
+    """Return a world whose first choice sends bytes without end."""
+    endless = EndlessTarget(*spec)
+    world = World(endless, FakeTarget(rest), **terms)
+    world.book.by_id['t1'].failure_rate = 0.5
+    return world, endless
+
+
+@pytest.mark.parametrize(
+    'spec',
+    (WITHOUT_END | BODIES_WITHOUT_END).values(),
+    ids=WITHOUT_END | BODIES_WITHOUT_END,
+)
+def test_an_answer_without_end_counts_as_failed(spec):
+    world, endless = endless_first(spec, DONE)
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert (reply.status, reply.body) == (200, b'done')
+    assert endless.was_closed.wait(1)
+    assert world.book.by_id['t0'].failure_rate > 0
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+@pytest.mark.parametrize(
+    'spec',
+    (WITHOUT_END | BODIES_WITHOUT_END).values(),
+    ids=WITHOUT_END | BODIES_WITHOUT_END,
+)
+def test_an_answer_without_end_is_an_answer_in_time(spec, kind):
+    """What may run once only is not repeated, nor held for longer."""
+    world, endless = endless_first(spec, DONE, kind=kind, attempts_most=1)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.status in {502, 504}
+    assert world.clock.elapsed() - started < SECOND * 1.1
+    assert endless.was_closed.wait(1)
+
+
+@pytest.mark.parametrize(
+    'spec',
+    STREAMS_WITHOUT_END.values(),
+    ids=STREAMS_WITHOUT_END,
+)
+def test_an_event_without_end_is_no_event(spec):
+    """The stream is had from another target, with its head."""
+    world, endless = endless_first(
+        spec,
+        WHOLE_STREAM,
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.is_complete
+    assert reply.body == b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+    assert endless.was_closed.wait(1)
+
+
+def test_a_stream_goes_on_elsewhere_when_its_next_event_has_no_end():
+    world, endless = endless_first(
+        (STREAM_HEAD + event(1), b'1\r\nx\r\n', TRICKLE),
+        [STREAM_HEAD, event(2), b'0\r\n\r\n'],
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    world.route = replace(world.route, timeout=SECOND * 4)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask({'Deadline-Ms': '3000'})
+    assert reply.is_complete
+    assert reply.body == b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+    assert world.clock.elapsed() - started < SECOND * 2
+    assert endless.was_closed.wait(1)
+
+
+def test_a_slow_caller_is_no_silent_target():
+    """Events that came while one was passed on are not lost to patience."""
+    events = [STREAM_HEAD, event(1), event(2), event(3), b'0\r\n\r\n']
+    world = World(
+        FakeTarget(events),
+        FakeTarget(),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    world.book.by_id['t1'].failure_rate = 0.5
+    world.route = replace(world.route, timeout=SECOND * 5)
+    pauses = [GAP_PATIENCE * 1.2, timedelta(), timedelta()]
+
+    def send_slowly(self, piece):
+        gevent.sleep(pauses.pop(0).total_seconds())
+        self.body += piece
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(FakeReply, 'send_piece', send_slowly)
+        reply = world.ask({'Deadline-Ms': '4000'})
+    assert reply.is_complete
+    assert len(world.sent()) == 1
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -2,11 +2,13 @@
 
 from datetime import timedelta
 from random import Random
+from time import process_time
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from verbenamux_http.errors import ExchangeFailure, Fault
 from verbenamux_relay.catalog import (
     Catalog,
     Route,
@@ -16,7 +18,7 @@
     routes_by_host,
 )
 from verbenamux_relay.choosing import Option, choose, predict, preferred
-from verbenamux_relay.events import EventSplitter
+from verbenamux_relay.events import EVENT_BYTES_MOST, EventSplitter
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.waiting import (
     Outlook,
@@ -215,3 +217,26 @@
     rest = splitter.take_rest()
     assert rest == b'id: 4\ndat'
     assert b''.join(event.encoded for event in events) + rest == STREAM
+
+
+def test_an_event_without_end_is_a_failure_not_memory():
+    splitter = EventSplitter()
+    assert list(splitter.feed(b'data: a\n\n' + b'x' * 65536))
+    with pytest.raises(ExchangeFailure) as raised:
+        for _ in range(2 * EVENT_BYTES_MOST // 65536):
+            list(splitter.feed(b'x' * 65536))
+    assert raised.value.fault is Fault.TOO_LARGE
+
+
+def test_a_large_event_in_small_pieces_is_read_in_one_pass():
+    """Each byte is searched once, not again with each further piece."""
+    splitter = EventSplitter()
+    started = process_time()
+    events = [
+        event
+        for _ in range(EVENT_BYTES_MOST // 8)
+        for event in splitter.feed(b'data: xx')
+    ]
+    events += splitter.feed(b'\n\n')
+    assert [len(event.encoded) for event in events] == [EVENT_BYTES_MOST + 2]
+    assert process_time() - started < 2
