Read a refusal's body for a short time and no longer

A target that refuses and then sends its refusal's body without end, or not at all, held a request that had proof of not having run until its deadline: 503 instead of another target's answer.

Cause: the body was read to its end within the time left, and kept.

Change: it is skipped, not kept, for at most 100 ms and 64 KiB; beyond that the connection is closed.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -232,6 +232,25 @@
             self._tools.room.give_back(body.tell())
         return body.getvalue()
 
+    def skip_body(self, timeout: timedelta, bytes_most: int) -> None:
+        """Read the whole body and keep none of it.
+
+        Raises ExchangeFailure when it takes longer or is larger.
+        """
+        deadline = self._tools.elapsed() + timeout
+
+        def remaining() -> timedelta:
+            return deadline - self._tools.elapsed()
+
+        skipped = 0
+        for piece in self._pieces(remaining):
+            skipped += len(piece)
+            if skipped > bytes_most:
+                raise ExchangeFailure(
+                    Fault.TOO_LARGE,
+                    f'more than {bytes_most} bytes',
+                )
+
     def is_reusable(self) -> bool:
         """Tell whether the connection may carry another request.
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -30,6 +30,10 @@
 PATIENCE_LEAST = timedelta(milliseconds=700)
 # A stream that can be resumed elsewhere waits so long between two events.
 GAP_PATIENCE = timedelta(milliseconds=1200)
+# A refusal's rest is read for this long, and so many bytes of it: it comes
+# with its head, and to read on is worth no more than a new connection.
+REFUSAL_TIME = timedelta(milliseconds=100)
+REFUSAL_BYTES_MOST = 65536
 # What of the time left the target is not told, for the answer's way back.
 RETURN_TIME = timedelta(milliseconds=5)
 # Statuses that promise a caller that its request has not run.
@@ -219,7 +223,10 @@
 ) -> Outcome:
     """Read the rest of a refusal, so that its connection can be kept."""
     try:
-        exchange.read_body(sent.time_left)
+        exchange.skip_body(
+            min(REFUSAL_TIME, sent.time_left()),
+            REFUSAL_BYTES_MOST,
+        )
     except ExchangeFailure as failure:
         sent.job.steps.append(f'refusal cut short: {failure.message}')
     own_id = sent.target.entry.target_id
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -587,6 +587,29 @@
     assert endless.was_closed.wait(1)
 
 
+REFUSED_WITHOUT_END = FULL.replace(b': 0', b': 9000000000')
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        (REFUSED_WITHOUT_END, b'x', TRICKLE),
+        (REFUSED_WITHOUT_END, BLOCK, FLOOD),
+        (REFUSED_WITHOUT_END, b'x', SECOND.total_seconds()),
+    ],
+    ids=['trickle', 'flood', 'silence'],
+)
+def test_a_refusal_without_end_is_a_refusal(spec):
+    """It did not run there: another target gets it, with time to answer."""
+    world, endless = endless_first(spec, DONE, kind=RouteKind.NON_IDEMPOTENT)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.status == 200
+    assert world.clock.elapsed() - started < SECOND * 0.5
+    assert endless.was_closed.wait(2)
+
+
 def test_a_slow_caller_is_no_silent_target():
     """Events that came while one was passed on are not lost to patience."""
     events = [STREAM_HEAD, event(1), event(2), event(3), b'0\r\n\r\n']
