Let a long body go on while its answer is waited for

What callers saw: a request with a body over 8 KiB, at a target that takes none of its bytes for as long as the gateway's patience, never arrived there whole: the target waited for the rest, the gateway for the answer.

Cause: the body is sent by a task of its own on the same socket. Waiting for the answer set the socket's time-out, which ended that task's sending as well, without a word (_send_body took it for a broken connection).

Change: the wait for an answer has a time-out of its own; the socket has none.

Evidence: test_a_long_body_goes_on_after_a_wait_for_its_answer (8 MB, three waits of 30 ms) ran into its 5 s before and passes now.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from io import BytesIO
 
-from gevent import Greenlet, socket, spawn
+from gevent import Greenlet, Timeout, socket, spawn
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
@@ -302,13 +302,18 @@
             return
         self._sent.set()
 
+    def _receive_within(self, seconds: float) -> bytes:
+        # The socket's own time-out would end the sending of a body as well.
+        with Timeout(seconds, TimeoutError(seconds)):
+            received: bytes = self._socket.recv(RECEIVE_BYTES)
+            return received
+
     def _receive(self, deadline: timedelta) -> None:
         seconds = (deadline - self._tools.elapsed()).total_seconds()
         if seconds <= 0:
             raise ExchangeFailure(Fault.TIMED_OUT, 'no time left to wait')
-        self._socket.settimeout(seconds)
         try:
-            received = self._socket.recv(RECEIVE_BYTES)
+            received = self._receive_within(seconds)
         except OSError as error:
             raise _receive_failure(error, seconds) from error
         if received:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -20,6 +20,7 @@
 )
 from verbenamux_http.errors import ExchangeFailure, Fault
 from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import RequestParser, SizeLimits
 
 SOON = timedelta(milliseconds=300)
 HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
@@ -203,6 +204,44 @@
     assert call(pool, target.address, GET, SOON)[1] == b'x' * 10
 
 
+class UnreadTarget:
+    """A target that accepts a connection and reads nothing by itself."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen()
+        self.address = self.listener.getsockname()
+
+    def accept(self):
+        self.opened, _ = self.listener.accept()
+        return self.opened
+
+
+def post(size):
+    length = (('Host', 'h'), ('Content-Length', str(size)))
+    return Outgoing('POST', '/', Headers(length), b'x' * size)
+
+
+def test_a_long_body_goes_on_after_a_wait_for_its_answer(pool):
+    """Patience with the answer is none with the body on its way."""
+    target = UnreadTarget()
+    size = 8_000_000
+    connection = pool.take(target.address, SOON)
+    opened = target.accept()
+    exchange = connection.start(post(size))
+    for _ in range(3):
+        with pytest.raises(ExchangeFailure):
+            exchange.read_head(timedelta(milliseconds=30))
+    parser = RequestParser(lambda: SizeLimits(4096, size))
+    with gevent.Timeout(5):
+        while not parser.complete:
+            parser.feed(opened.recv(65536))
+    assert len(parser.complete[0].body) == size
+    opened.sendall(HELLO)
+    assert exchange.read_head(SOON).status == 200
+
+
 def test_a_body_without_end_leaves_memory_to_others():
     pool = ConnectionPool(SystemClock().elapsed, BodyRoom(ROOM))
     target = EndlessTarget(LONG_BODY, b'x' * 65536, 0.001)
