Reset a connection whose close would wait behind unsent bytes

Cause: close() sends its FIN behind the bytes the kernel still holds. A target that does not read on sees none of it: with a body of 4 MB no close was there 4.5 s later. A send cut off by its caller's leaving was not closed at all but by garbage collection, and a head that the target takes no bytes of was sent without any time limit, past the deadline.

Change: an exchange that is given up asks the kernel for unsent bytes (SIOCOUTQNSD) and has the close reset the connection if there are any; the target sees it at once. Without unsent bytes it stays a close, which is sent again when it is lost. Connection.start closes the connection when it ends without an exchange, and its sending ends in the request's time.

Ruled out: that a task waiting in the socket keeps it open: gevent ends its wait with the close, and the same test passes with 8 MB, where the sender waits.

Evidence: test_a_target_sees_a_close_before_it_read_the_request failed for 200 kB, 2 MB and 8 MB (passed for 0 and 8 kB); test_a_send_that_is_given_up_is_closed failed; both pass now. test_a_request_that_can_not_be_sent_ends_in_time is new with its argument. test_a_request_that_was_read_is_closed_without_a_reset passed before too.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -1,5 +1,7 @@
 """Connections to targets: one request at a time on each, kept for reuse."""
 
+import fcntl
+import struct
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -28,6 +30,10 @@
 ROOM_BYTES = 32 * 1024 * 1024
 # What each body may hold however full the room is: a page of the store.
 FREE_BODY_BYTES = 1024 * 1024
+# Linux: how many bytes of a connection the kernel has not sent yet.
+SIOCOUTQNSD = 0x894B
+# Has a close discard such bytes and reset the connection.
+RESET = struct.pack('ii', 1, 0)
 # How long the body of a call's answer may take as a whole: thrice what a
 # page of the store (1 MB) needs on the slowest link (5 Mbit/s).
 BODY_TIME = timedelta(seconds=5)
@@ -137,6 +143,18 @@
     opened.settimeout(None)
 
 
+def _discard_unsent(opened: socket.socket) -> None:
+    """Have a close reset the connection, if bytes are held back on it."""
+    counted = bytearray(struct.calcsize('i'))
+    try:
+        fcntl.ioctl(opened.fileno(), SIOCOUTQNSD, counted)
+        if any(counted):
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    except OSError:
+        # It is broken, or the kernel can't tell: a plain close has to do.
+        return
+
+
 class Connection:
     """One connection to a peer."""
 
@@ -151,6 +169,17 @@
         """Close the socket, which tells the peer to drop its work."""
         self._socket.close()
 
+    def abort(self) -> None:
+        """Close the socket so that the peer learns of it at once.
+
+        A close stays behind bytes that the peer does not take, a reset does
+        not. Where there are none a close is better: it is sent again when
+        it is lost, and a reset is not.
+        """
+        if not self._socket.closed:
+            _discard_unsent(self._socket)
+        self._socket.close()
+
     def is_quiet(self) -> bool:
         """Tell whether an idle connection is still open and in order."""
         try:
@@ -163,12 +192,27 @@
             return False
         return False
 
-    def start(self, outgoing: Outgoing) -> 'Exchange':
-        """Send a request.
+    def start(
+        self,
+        outgoing: Outgoing,
+        timeout: timedelta = UNACKNOWLEDGED_MOST,
+    ) -> 'Exchange':
+        """Send a request; `timeout` is for what goes before a long body.
 
-        Raises ExchangeFailure; BROKEN when bytes may have arrived.
+        Raises ExchangeFailure: some bytes may have arrived. The connection
+        is closed when this ends without an exchange.
         """
-        return Exchange(self, self._socket, self._tools, outgoing)
+        try:
+            return Exchange(
+                self,
+                self._socket,
+                self._tools,
+                outgoing,
+                timeout,
+            )
+        except BaseException:
+            self.abort()
+            raise
 
 
 class Exchange:
@@ -180,6 +224,7 @@
         opened: socket.socket,
         tools: ReadTools,
         outgoing: Outgoing,
+        timeout: timedelta,
     ) -> None:
         """Send the request; a long body goes out beside the answer."""
         self.connection = connection
@@ -189,10 +234,10 @@
         self._sent = Event()
         self._sender: Greenlet | None = None
         if len(outgoing.body) <= DIRECT_BODY_BYTES:
-            self._send(outgoing.encoded_head() + outgoing.body)
+            self._send(outgoing.encoded_head() + outgoing.body, timeout)
             self._sent.set()
         else:
-            self._send(outgoing.encoded_head())
+            self._send(outgoing.encoded_head(), timeout)
             self._sender = spawn(self._send_body, outgoing.body)
 
     def read_head(self, timeout: timedelta) -> ResponseHead:
@@ -277,7 +322,7 @@
         """End the exchange at once."""
         if self._sender is not None:
             self._sender.kill(block=False)
-        self.connection.close()
+        self.connection.abort()
 
     def _pieces(self, remaining: Callable[[], timedelta]) -> Iterator[bytes]:
         piece = self.read_piece(remaining())
@@ -285,9 +330,16 @@
             yield piece
             piece = self.read_piece(remaining())
 
-    def _send(self, encoded: bytes) -> None:
+    def _send(self, encoded: bytes, timeout: timedelta) -> None:
+        seconds = timeout.total_seconds()
         try:
-            self._socket.sendall(encoded)
+            with Timeout(seconds, TimeoutError(seconds)):
+                self._socket.sendall(encoded)
+        except TimeoutError as error:
+            raise ExchangeFailure(
+                Fault.TIMED_OUT,
+                f'not sent within {seconds} s',
+            ) from error
         except OSError as error:
             raise ExchangeFailure(
                 Fault.BROKEN,
@@ -414,11 +466,7 @@
     have acted unless it is UNSENT.
     """
     connection = pool.take(address, timeout)
-    try:
-        exchange = connection.start(outgoing)
-    except ExchangeFailure:
-        connection.close()
-        raise
+    exchange = connection.start(outgoing, timeout)
     try:
         head = exchange.read_head(timeout)
         body_by = pool.elapsed() + body_time
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -134,9 +134,8 @@
             is_unreachable=True,
         )
     try:
-        exchange = connection.start(_outgoing(sent))
+        exchange = connection.start(_outgoing(sent), sent.time_left())
     except ExchangeFailure as failure:
-        connection.close()
         return _classify(failure)
     try:
         return _follow(sent, exchange)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,6 +1,7 @@
 """Connections to targets that answer early, twice, half or not at all."""
 
 import contextlib
+import select
 from datetime import timedelta
 
 import gevent
@@ -217,12 +218,44 @@
         self.opened, _ = self.listener.accept()
         return self.opened
 
+    def sees_a_close(self):
+        """Tell whether a close or a reset is there, with nothing read."""
+        poller = select.poll()
+        poller.register(self.opened.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
 
 def post(size):
     length = (('Host', 'h'), ('Content-Length', str(size)))
     return Outgoing('POST', '/', Headers(length), b'x' * size)
 
 
+@pytest.mark.parametrize('size', [0, 8000, 200_000, 2_000_000, 8_000_000])
+def test_a_target_sees_a_close_before_it_read_the_request(pool, size):
+    """A run has to end soon after its caller left, whatever is on the way."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    exchange = connection.start(post(size))
+    gevent.sleep(0.05)
+    assert not target.sees_a_close()
+    exchange.close()
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
+def test_a_request_that_was_read_is_closed_without_a_reset(pool):
+    """A reset is sent once only: one that is lost tells nobody."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    opened = target.accept()
+    exchange = connection.start(post(4))
+    while opened.recv(65536)[-4:] != b'xxxx':
+        gevent.sleep(0)
+    exchange.close()
+    assert opened.recv(1) == b''
+
+
 def test_a_long_body_goes_on_after_a_wait_for_its_answer(pool):
     """Patience with the answer is none with the body on its way."""
     target = UnreadTarget()
@@ -242,6 +275,33 @@
     assert exchange.read_head(SOON).status == 200
 
 
+def test_a_request_that_can_not_be_sent_ends_in_time(pool):
+    """Its head does not fit what the target takes."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    fields = (('Host', 'h'), ('Long', 'x' * 8_000_000))
+    with gevent.Timeout(2), pytest.raises(ExchangeFailure) as raised:
+        connection.start(Outgoing('GET', '/', Headers(fields)), SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
+def test_a_send_that_is_given_up_is_closed(pool):
+    """The caller may leave while its request still goes out."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    fields = (('Host', 'h'), ('Long', 'x' * 8_000_000))
+    outgoing = Outgoing('GET', '/', Headers(fields))
+    starting = gevent.spawn(connection.start, outgoing)
+    gevent.sleep(0.05)
+    starting.kill()
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
 def test_a_body_without_end_leaves_memory_to_others():
     pool = ConnectionPool(SystemClock().elapsed, BodyRoom(ROOM))
     target = EndlessTarget(LONG_BODY, b'x' * 65536, 0.001)
