--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -1,11 +1,14 @@
 """Connections to targets: one request at a time on each, kept for reuse."""
 
+import fcntl
+import struct
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from io import BytesIO
 
-from gevent import Greenlet, socket, spawn
+from gevent import Greenlet, Timeout, socket, spawn
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
@@ -21,6 +24,19 @@
 IDLE_MARGIN = timedelta(milliseconds=900)
 # The kernel gives up on data that stays unacknowledged for this long.
 UNACKNOWLEDGED_MOST = timedelta(seconds=3)
+# All whole bodies that are being read hold this many bytes together: eight
+# times a caller's largest request by default, a sixth of the memory of the
+# smallest machine (200 MB), as an answer is copied once when it is sent.
+ROOM_BYTES = 32 * 1024 * 1024
+# What each body may hold however full the room is: a page of the store.
+FREE_BODY_BYTES = 1024 * 1024
+# Linux: how many bytes of a connection the kernel has not sent yet.
+SIOCOUTQNSD = 0x894B
+# Has a close discard such bytes and reset the connection.
+RESET = struct.pack('ii', 1, 0)
+# How long the body of a call's answer may take as a whole: thrice what a
+# page of the store (1 MB) needs on the slowest link (5 Mbit/s).
+BODY_TIME = timedelta(seconds=5)
 
 Address = tuple[str, int]
 Elapsed = Callable[[], timedelta]
@@ -53,7 +69,48 @@
     return host, int(port)
 
 
-def connect(address: Address, timeout: timedelta) -> 'Connection':
+class BodyRoom:
+    """Room in memory that bodies share while they are read.
+
+    It bounds each body too: one without end fails, and the others go on.
+    """
+
+    def __init__(self, most: int = ROOM_BYTES) -> None:
+        """Start empty; `most` is in bytes."""
+        self.held = 0
+        self._most = most
+
+    def take(self, so_far: int, more: int) -> None:
+        """Take room for more bytes of a body that holds `so_far`.
+
+        Raises ExchangeFailure when there is none, and takes none then.
+        """
+        is_large = so_far + more > FREE_BODY_BYTES
+        if is_large and self.held + more > self._most:
+            raise ExchangeFailure(
+                Fault.TOO_LARGE,
+                f'no room for a body of over {so_far} bytes',
+            )
+        self.held += more
+
+    def give_back(self, size: int) -> None:
+        """Free the room of a body of that size."""
+        self.held -= size
+
+
+@dataclass(frozen=True, slots=True)
+class ReadTools:
+    """What reading answers needs: a monotonic clock, room for bodies."""
+
+    elapsed: Elapsed
+    room: BodyRoom
+
+
+def connect(
+    address: Address,
+    timeout: timedelta,
+    tools: ReadTools,
+) -> 'Connection':
     """Open a connection; raises ExchangeFailure, with nothing sent."""
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -67,7 +124,7 @@
     except BaseException:
         opened.close()
         raise
-    return Connection(opened)
+    return Connection(opened, tools)
 
 
 def _establish(
@@ -86,19 +143,43 @@
     opened.settimeout(None)
 
 
+def _discard_unsent(opened: socket.socket) -> None:
+    """Have a close reset the connection, if bytes are held back on it."""
+    counted = bytearray(struct.calcsize('i'))
+    try:
+        fcntl.ioctl(opened.fileno(), SIOCOUTQNSD, counted)
+        if any(counted):
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    except OSError:
+        # It is broken, or the kernel can't tell: a plain close has to do.
+        return
+
+
 class Connection:
     """One connection to a peer."""
 
-    def __init__(self, opened: socket.socket) -> None:
+    def __init__(self, opened: socket.socket, tools: ReadTools) -> None:
         """Take over an open socket."""
         self.idle_since = timedelta()
         self.idle_most = DEFAULT_IDLE
         self._socket = opened
+        self._tools = tools
 
     def close(self) -> None:
         """Close the socket, which tells the peer to drop its work."""
         self._socket.close()
 
+    def abort(self) -> None:
+        """Close the socket so that the peer learns of it at once.
+
+        A close stays behind bytes that the peer does not take, a reset does
+        not. Where there are none a close is better: it is sent again when
+        it is lost, and a reset is not.
+        """
+        if not self._socket.closed:
+            _discard_unsent(self._socket)
+        self._socket.close()
+
     def is_quiet(self) -> bool:
         """Tell whether an idle connection is still open and in order."""
         try:
@@ -111,12 +192,27 @@
             return False
         return False
 
-    def start(self, outgoing: Outgoing) -> 'Exchange':
-        """Send a request.
+    def start(
+        self,
+        outgoing: Outgoing,
+        timeout: timedelta = UNACKNOWLEDGED_MOST,
+    ) -> 'Exchange':
+        """Send a request; `timeout` is for what goes before a long body.
 
-        Raises ExchangeFailure; BROKEN when bytes may have arrived.
+        Raises ExchangeFailure: some bytes may have arrived. The connection
+        is closed when this ends without an exchange.
         """
-        return Exchange(self, self._socket, outgoing)
+        try:
+            return Exchange(
+                self,
+                self._socket,
+                self._tools,
+                outgoing,
+                timeout,
+            )
+        except BaseException:
+            self.abort()
+            raise
 
 
 class Exchange:
@@ -126,41 +222,79 @@
         self,
         connection: Connection,
         opened: socket.socket,
+        tools: ReadTools,
         outgoing: Outgoing,
+        timeout: timedelta,
     ) -> None:
         """Send the request; a long body goes out beside the answer."""
         self.connection = connection
         self._socket = opened
+        self._tools = tools
         self._parser = ResponseParser()
         self._sent = Event()
         self._sender: Greenlet | None = None
         if len(outgoing.body) <= DIRECT_BODY_BYTES:
-            self._send(outgoing.encoded_head() + outgoing.body)
+            self._send(outgoing.encoded_head() + outgoing.body, timeout)
             self._sent.set()
         else:
-            self._send(outgoing.encoded_head())
+            self._send(outgoing.encoded_head(), timeout)
             self._sender = spawn(self._send_body, outgoing.body)
 
-    def read_head(self, timeout: timedelta | None) -> ResponseHead:
-        """Wait for the answer's head; raises ExchangeFailure."""
+    def read_head(self, timeout: timedelta) -> ResponseHead:
+        """Wait for the answer's head; raises ExchangeFailure.
+
+        Bytes of a head that is not whole do not renew the time.
+        """
+        deadline = self._tools.elapsed() + timeout
         while self._parser.head is None:
-            self._receive(timeout)
+            self._receive(deadline)
         return self._parser.head
 
-    def read_piece(self, timeout: timedelta | None) -> bytes | None:
+    def read_piece(self, timeout: timedelta) -> bytes | None:
         """Wait for more of the body; None is its end.
 
-        Raises ExchangeFailure when the body breaks off.
+        Bytes that bring none of the body do not renew the time. Raises
+        ExchangeFailure when the body breaks off.
         """
+        deadline = self._tools.elapsed() + timeout
         while not self._parser.pieces:
             if self._parser.is_complete:
                 return None
-            self._receive(timeout)
+            self._receive(deadline)
         return self._parser.pieces.popleft()
 
     def read_body(self, remaining: Callable[[], timedelta]) -> bytes:
-        """Return the whole body; raises ExchangeFailure."""
-        return b''.join(self._pieces(remaining))
+        """Return the whole body; raises ExchangeFailure.
+
+        `remaining` gives the time for each piece of it; it has to run out.
+        """
+        body = BytesIO()
+        try:
+            for piece in self._pieces(remaining):
+                self._tools.room.take(body.tell(), len(piece))
+                body.write(piece)
+        finally:
+            self._tools.room.give_back(body.tell())
+        return body.getvalue()
+
+    def skip_body(self, timeout: timedelta, bytes_most: int) -> None:
+        """Read the whole body and keep none of it.
+
+        Raises ExchangeFailure when it takes longer or is larger.
+        """
+        deadline = self._tools.elapsed() + timeout
+
+        def remaining() -> timedelta:
+            return deadline - self._tools.elapsed()
+
+        skipped = 0
+        for piece in self._pieces(remaining):
+            skipped += len(piece)
+            if skipped > bytes_most:
+                raise ExchangeFailure(
+                    Fault.TOO_LARGE,
+                    f'more than {bytes_most} bytes',
+                )
 
     def is_reusable(self) -> bool:
         """Tell whether the connection may carry another request.
@@ -188,7 +322,7 @@
         """End the exchange at once."""
         if self._sender is not None:
             self._sender.kill(block=False)
-        self.connection.close()
+        self.connection.abort()
 
     def _pieces(self, remaining: Callable[[], timedelta]) -> Iterator[bytes]:
         piece = self.read_piece(remaining())
@@ -196,9 +330,16 @@
             yield piece
             piece = self.read_piece(remaining())
 
-    def _send(self, encoded: bytes) -> None:
+    def _send(self, encoded: bytes, timeout: timedelta) -> None:
+        seconds = timeout.total_seconds()
         try:
-            self._socket.sendall(encoded)
+            with Timeout(seconds, TimeoutError(seconds)):
+                self._socket.sendall(encoded)
+        except TimeoutError as error:
+            raise ExchangeFailure(
+                Fault.TIMED_OUT,
+                f'not sent within {seconds} s',
+            ) from error
         except OSError as error:
             raise ExchangeFailure(
                 Fault.BROKEN,
@@ -213,13 +354,18 @@
             return
         self._sent.set()
 
-    def _receive(self, timeout: timedelta | None) -> None:
-        seconds = None if timeout is None else timeout.total_seconds()
-        if seconds is not None and seconds <= 0:
+    def _receive_within(self, seconds: float) -> bytes:
+        # The socket's own time-out would end the sending of a body as well.
+        with Timeout(seconds, TimeoutError(seconds)):
+            received: bytes = self._socket.recv(RECEIVE_BYTES)
+            return received
+
+    def _receive(self, deadline: timedelta) -> None:
+        seconds = (deadline - self._tools.elapsed()).total_seconds()
+        if seconds <= 0:
             raise ExchangeFailure(Fault.TIMED_OUT, 'no time left to wait')
-        self._socket.settimeout(seconds)
         try:
-            received = self._socket.recv(RECEIVE_BYTES)
+            received = self._receive_within(seconds)
         except OSError as error:
             raise _receive_failure(error, seconds) from error
         if received:
@@ -234,7 +380,7 @@
 
 def _receive_failure(
     error: OSError,
-    seconds: float | None,
+    seconds: float,
 ) -> ExchangeFailure:
     if isinstance(error, TimeoutError):
         return ExchangeFailure(Fault.TIMED_OUT, f'no answer for {seconds} s')
@@ -244,9 +390,14 @@
 class ConnectionPool:
     """Idle connections by address, newest first."""
 
-    def __init__(self, elapsed: Elapsed) -> None:
+    def __init__(
+        self,
+        elapsed: Elapsed,
+        room: BodyRoom | None = None,
+    ) -> None:
         """Start without connections; `elapsed` is a monotonic clock."""
-        self._elapsed = elapsed
+        self.elapsed = elapsed
+        self._read_tools = ReadTools(elapsed, room or BodyRoom())
         self._idle_by_address: dict[Address, deque[Connection]] = {}
 
     def take(
@@ -263,14 +414,14 @@
         idle = self._idle_by_address.get(address, deque())
         while idle:
             connection = idle.pop()
-            idle_for = self._elapsed() - connection.idle_since
+            idle_for = self.elapsed() - connection.idle_since
             limit = connection.idle_most
             if idle_most is not None:
                 limit = min(limit, idle_most)
             if idle_for < limit and connection.is_quiet():
                 return connection
             connection.close()
-        return connect(address, connect_timeout)
+        return connect(address, connect_timeout, self._read_tools)
 
     def give_back(self, address: Address, exchange: Exchange) -> None:
         """Keep the connection of a finished exchange, if it is in order."""
@@ -278,7 +429,7 @@
             exchange.close()
             return
         connection = exchange.connection
-        connection.idle_since = self._elapsed()
+        connection.idle_since = self.elapsed()
         connection.idle_most = exchange.stated_idle()
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
@@ -293,7 +444,7 @@
 
     def drop_idle(self) -> None:
         """Close connections whose idle time ran out."""
-        now = self._elapsed()
+        now = self.elapsed()
         for address, idle in list(self._idle_by_address.items()):
             while idle and now - idle[0].idle_since >= idle[0].idle_most:
                 idle.popleft().close()
@@ -306,20 +457,22 @@
     address: Address,
     outgoing: Outgoing,
     timeout: timedelta,
+    body_time: timedelta = BODY_TIME,
 ) -> tuple[ResponseHead, bytes]:
     """Make one bounded call and return its whole answer.
 
-    Raises ExchangeFailure. The peer may have acted unless it is UNSENT.
+    `timeout` is for the head, then for each piece of the body, and
+    `body_time` for the whole body. Raises ExchangeFailure. The peer may
+    have acted unless it is UNSENT.
     """
     connection = pool.take(address, timeout)
-    try:
-        exchange = connection.start(outgoing)
-    except ExchangeFailure:
-        connection.close()
-        raise
+    exchange = connection.start(outgoing, timeout)
     try:
         head = exchange.read_head(timeout)
-        body = exchange.read_body(lambda: timeout)
+        body_by = pool.elapsed() + body_time
+        body = exchange.read_body(
+            lambda: min(timeout, body_by - pool.elapsed()),
+        )
     except BaseException:
         exchange.close()
         raise
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -30,6 +30,10 @@
 PATIENCE_LEAST = timedelta(milliseconds=700)
 # A stream that can be resumed elsewhere waits so long between two events.
 GAP_PATIENCE = timedelta(milliseconds=1200)
+# A refusal's rest is read for this long, and so many bytes of it: it comes
+# with its head, and to read on is worth no more than a new connection.
+REFUSAL_TIME = timedelta(milliseconds=100)
+REFUSAL_BYTES_MOST = 65536
 # What of the time left the target is not told, for the answer's way back.
 RETURN_TIME = timedelta(milliseconds=5)
 # Statuses that promise a caller that its request has not run.
@@ -130,9 +134,8 @@
             is_unreachable=True,
         )
     try:
-        exchange = connection.start(_outgoing(sent))
+        exchange = connection.start(_outgoing(sent), sent.time_left())
     except ExchangeFailure as failure:
-        connection.close()
         return _classify(failure)
     try:
         return _follow(sent, exchange)
@@ -174,7 +177,7 @@
 
 def _follow(sent: Send, exchange: Exchange) -> Outcome:
     """Read the answer and decide what it is worth."""
-    head = _await(sent, lambda: exchange.read_head(_patience(sent)))
+    head = _await(sent, exchange.read_head, sent.tools.clock.elapsed())
     sent.note_heard()
     terms = sent.tools.dialect.read_answer(head)
     _note_load(sent, terms)
@@ -219,7 +222,10 @@
 ) -> Outcome:
     """Read the rest of a refusal, so that its connection can be kept."""
     try:
-        exchange.read_body(sent.time_left)
+        exchange.skip_body(
+            min(REFUSAL_TIME, sent.time_left()),
+            REFUSAL_BYTES_MOST,
+        )
     except ExchangeFailure as failure:
         sent.job.steps.append(f'refusal cut short: {failure.message}')
     own_id = sent.target.entry.target_id
@@ -259,15 +265,15 @@
     head: ResponseHead,
     splitter: EventSplitter,
 ) -> None:
-    def read() -> bytes | None:
-        return exchange.read_piece(_patience(sent))
-
-    piece = _await(sent, read)
+    since = sent.tools.clock.elapsed()
+    piece = _await(sent, exchange.read_piece, since)
     while piece is not None:
-        sent.note_heard()
         for event in splitter.feed(piece):
+            sent.note_heard()
             _pass_event(sent, head, event)
-        piece = _await(sent, read)
+            # Not before it is passed on: a slow caller is no silent target.
+            since = sent.tools.clock.elapsed()
+        piece = _await(sent, exchange.read_piece, since)
 
 
 def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
@@ -288,30 +294,37 @@
         reply.start(head.status, head.headers.end_to_end(kept))
 
 
-def _patience(sent: Send) -> timedelta:
-    """Return how long to wait for the next bytes."""
+def _patience(sent: Send, since: timedelta) -> timedelta:
+    """Return how long to wait on, after a wait for news since then."""
     route = sent.job.route
     left = sent.time_left()
     if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
         return left
-    if sent.in_flight.is_started:
-        return min(left, GAP_PATIENCE)
     patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
-    return min(left, patience)
+    if sent.in_flight.is_started:
+        patience = GAP_PATIENCE
+    return min(left, since + patience - sent.tools.clock.elapsed())
 
 
-def _await(sent: Send, read: Callable[[], Received]) -> Received:
+def _await(
+    sent: Send,
+    read: Callable[[timedelta], Received],
+    since: timedelta,
+) -> Received:
     """Read with patience, and on while the target answers others.
 
-    A busy target is late for all; to break off there and send anew would
-    only add to its work.
+    Bytes of a head or of an event that is not whole are no news; `since` is
+    when the last news was passed on, or the request was sent. A busy target
+    is late for all; to break off there and send anew would only add to its
+    work.
     """
     while True:
         try:
-            return read()
+            return read(_patience(sent, since))
         except ExchangeFailure as failure:
             if _is_final(sent, failure):
                 raise
+        since = sent.tools.clock.elapsed()
 
 
 def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
