Read odd numbers in a target's headers as none

A whole, proven answer became a 502 when its Server-Load or Keep-Alive held a digit that int() does not take (a superscript two) or a time too large for a timedelta: the reader raised in the gateway.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
-from verbenamux_http.headers import Headers
+from verbenamux_http.headers import Headers, read_whole_number
 from verbenamux_http.parsing import ResponseHead, ResponseParser
 
 RECEIVE_BYTES = 65536
@@ -20,6 +20,8 @@
 DIRECT_BODY_BYTES = 8192
 # Idle time at a peer that states no limit of its own.
 DEFAULT_IDLE = timedelta(seconds=4)
+# No idle connection is kept for longer, whatever its peer states.
+IDLE_MOST = timedelta(minutes=1)
 # What a peer's stated idle limit is shortened by, for time on the way.
 IDLE_MARGIN = timedelta(milliseconds=900)
 # The kernel gives up on data that stays unacknowledged for this long.
@@ -314,8 +316,9 @@
         stated = head.headers.get('keep-alive') if head else None
         for parameter in (stated or '').split(','):
             name, _, seconds = parameter.strip().partition('=')
-            if name.lower() == 'timeout' and seconds.isdigit():
-                return timedelta(seconds=int(seconds)) - IDLE_MARGIN
+            most = read_whole_number(seconds)
+            if name.lower() == 'timeout' and most is not None:
+                return min(timedelta(seconds=most), IDLE_MOST) - IDLE_MARGIN
         return DEFAULT_IDLE
 
     def close(self) -> None:
--- a/libs/http/src/verbenamux_http/headers.py
+++ b/libs/http/src/verbenamux_http/headers.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+# Longer numbers are no times, sizes or counts.
+DIGITS_MOST = 12
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -68,3 +70,11 @@
         """Yield each field as a line."""
         for name, text in self.fields:
             yield f'{name}: {text}\r\n'.encode('latin-1')
+
+
+def read_whole_number(text: str) -> int | None:
+    """Return the number that a field holds, None if it is no whole one."""
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit():
+        return None
+    return int(digits) if len(digits) <= DIGITS_MOST else None
