Log who read the word of a leaving target, and how old it may be

`target_draining` and `target_removed` now name the reader, the greatest age of the word, how long ago a call of this gateway last failed, and the bound. One line for each target that leaves, as before.

--- a/libs/contracts/src/verbenamux_contracts/log.py
+++ b/libs/contracts/src/verbenamux_contracts/log.py
@@ -26,12 +26,14 @@
 class LogFailure:
     """A call to the log without a usable answer.
 
-    `first_offset` is the first one still kept, after EXPIRED.
+    `first_offset` is the first one still kept, after EXPIRED; `began_at` is
+    the monotonic time of the call, where it was noted.
     """
 
     fault: LogFault
     message: str
     first_offset: int = 0
+    began_at: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from functools import partial
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import (
     AnyMessage,
@@ -20,6 +20,7 @@
 from verbenamux_relay.catalog import Catalog, Service
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.keepers import Keepers, decode_report
+from verbenamux_relay.leaving import LeavingBounds, News
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.peering import Identity, Member, Peers
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
@@ -45,7 +46,8 @@
 class GatewaySetup:
     """Where a gateway stands, and the bounds that it keeps.
 
-    `key_trust` is how long keys count without word from the store.
+    `key_trust` is how long keys count without word from the store, `leaving`
+    how soon a target that leaves is left alone.
     """
 
     name: str
@@ -56,6 +58,7 @@
     repeat_window: timedelta
     repeat_ratio: float
     repeat_extra: float
+    leaving: LeavingBounds
 
 
 class RelayGateway:
@@ -151,8 +154,15 @@
             and bool(self.beliefs.book.by_id)
         )
 
-    def put_target(self, entry: TargetEntry) -> None:
-        """Take in a registry entry."""
+    def put_target(
+        self,
+        entry: TargetEntry,
+        news: News | None = None,
+    ) -> None:
+        """Take in an entry; `news` tells how the registry's came here."""
+        known = self.beliefs.book.by_id.get(entry.target_id)
+        if known is not None and entry.is_draining > known.entry.is_draining:
+            self._log_leaving('target_draining', entry.target_id, news)
         is_new = self.beliefs.book.put(entry, self._clock.elapsed())
         target = self.beliefs.book.by_id[entry.target_id]
         if is_new:
@@ -167,13 +177,34 @@
         self.keepers.follow(target)
         self.loader.note_change()
 
-    def remove_target(self, target_id: str) -> None:
-        """Note that a target ended; no keeper's word brings it back."""
+    def remove_target(self, target_id: str, news: News | None = None) -> None:
+        """Note that a target ended; no keeper's word brings it back.
+
+        `news` tells how the registry's word of it came here.
+        """
         self._removed_ids[target_id] = None
         if len(self._removed_ids) > REMOVED_MOST:
             self._removed_ids.popitem(last=False)
         self.beliefs.book.mark_removed(target_id, self._clock.elapsed())
-        self._log('target_removed', target=target_id)
+        self._log_leaving('target_removed', target_id, news)
+
+    def _log_leaving(
+        self,
+        event: str,
+        target_id: str,
+        news: News | None,
+    ) -> None:
+        """Log who read the word of a leaving target, and its age at most."""
+        now = self._clock.elapsed()
+        told = news or News('keeper')
+        self._log(
+            event,
+            target=target_id,
+            reader=told.reader,
+            age_most_ms=_milliseconds_since(told.current_at, now),
+            failed_ms=_milliseconds_since(told.failed_at, now),
+            drain_ms=to_milliseconds(self.setup.leaving.drain),
+        )
 
     def budget_of(self, service: str) -> RepeatBudget:
         """Return this gateway's budget of repeats for a service."""
@@ -336,3 +367,10 @@
             notice.leaving,
         )
         self.demand.hear(notice.instance, usage)
+
+
+def _milliseconds_since(
+    moment: timedelta | None,
+    now: timedelta,
+) -> int | None:
+    return None if moment is None else to_milliseconds(now - moment)
--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -10,7 +10,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from returns.result import Result, Success
@@ -41,11 +41,12 @@
 class Reading:
     """What a read found, and when it is known to have been the newest.
 
-    `known_at` is None when nothing is known of that.
+    `known_at` is None when nothing is known of that. `reader` made the read.
     """
 
     batch: RecordBatch
     known_at: timedelta | None
+    reader: str = 'self'
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +186,7 @@
         return Reading(
             RecordBatch(from_offset, next_offset, reply.records, next_offset),
             asked_at if reply.fresh else None,
+            link.address,
         )
 
     def _share(
@@ -226,6 +228,8 @@
         clock.sleep(patience.pause)
         began_at = clock.elapsed()
         found = read_store(topic, from_offset, patience.wait)
-        return found.map(lambda batch: Reading(batch, began_at))
+        return found.map(lambda batch: Reading(batch, began_at)).alt(
+            lambda failure: replace(failure, began_at=began_at),
+        )
 
     return read
