Bound the use of a dropped entry by the store's word, not by our own

Callers saw nothing; a target that leaves without saying so got a request 2,000 ms behind the store's word, drain_ms being 2,000.

Cause: a target whose entry was dropped was used for 1,500 ms more, counted from when the gateway learned of it, if it still answered. Behind the pause of 500 ms before a read that adds up to 2,000 ms and the read. The word was acked at 15.007 s; the pause ended by 15.51 s, the use by 17.01 s.

Ruled out: the shared reads. frontend-hut-ridge-1 is the only gateway of its data centre and reads for itself.

Change: the use ends drain_ms less a tenth behind the moment at which the gateway last knew of nothing newer, as the word may be that old. Only trouble with the store (two calls in a row that failed) allows more: up to stable_window_ms less the margin behind the newest such call, for which the site excuses it. Not more than 1,500 ms in all, as before. Of an engine that restarted under another id the old one is not used at all.

--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -20,7 +20,7 @@
 from verbenamux_relay.catalog import Catalog, Service
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.keepers import Keepers, decode_report
-from verbenamux_relay.leaving import LeavingBounds, News
+from verbenamux_relay.leaving import LeavingBounds, News, lapse_until
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.peering import Identity, Member, Peers
 from verbenamux_relay.picking import Beliefs, holdings, is_serving
@@ -180,12 +180,15 @@
     def remove_target(self, target_id: str, news: News | None = None) -> None:
         """Note that a target ended; no keeper's word brings it back.
 
-        `news` tells how the registry's word of it came here.
+        `news` tells how the registry's word of it came here; without, an
+        engine with another id answers in its place.
         """
         self._removed_ids[target_id] = None
         if len(self._removed_ids) > REMOVED_MOST:
             self._removed_ids.popitem(last=False)
-        self.beliefs.book.mark_removed(target_id, self._clock.elapsed())
+        now = self._clock.elapsed()
+        until = lapse_until(news, now, self.setup.leaving) if news else now
+        self.beliefs.book.mark_removed(target_id, now, until)
         self._log_leaving('target_removed', target_id, news)
 
     def _log_leaving(
--- a/libs/relay/src/verbenamux_relay/leaving.py
+++ b/libs/relay/src/verbenamux_relay/leaving.py
@@ -3,6 +3,13 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+# The part of the bound that is left for the send itself: choosing, a held-up
+# loop, a new connection, the way there.
+MARGIN_PART = 0.1
+# A target whose entry lapsed while the store was away is back about two
+# seconds behind its return; gateways have found it gone some time before.
+LAPSE_MOST = timedelta(milliseconds=1500)
+
 
 @dataclass(frozen=True, slots=True)
 class LeavingBounds:
@@ -21,10 +28,30 @@
     """How a change in the registry came to be known here; times monotonic.
 
     `reader` made the read. All that the store had taken at `current_at` was
-    known before; the newest call of this gateway that failed began at
-    `failed_at`.
+    known before. `failed_at` is when the newest call began that failed while
+    the store, or the way to it, was in trouble.
     """
 
     reader: str = ''
     current_at: timedelta | None = None
     failed_at: timedelta | None = None
+
+
+def lapse_until(
+    news: News,
+    now: timedelta,
+    bounds: LeavingBounds,
+) -> timedelta:
+    """Return until when a dropped entry may pass for one that only lapsed.
+
+    The target may as well have left, and the store may have taken that as
+    early as this gateway last knew of nothing newer. Trouble with the store
+    excuses what is later, for as long as the site says.
+    """
+    margin = bounds.drain * MARGIN_PART
+    until = now
+    if news.current_at is not None:
+        until = max(until, news.current_at + bounds.drain - margin)
+    if news.failed_at is not None:
+        until = max(until, news.failed_at + bounds.stable_window - margin)
+    return min(until, now + LAPSE_MOST)
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -29,8 +29,6 @@
 ORDER_LEAST = timedelta(milliseconds=100)
 # Stands for the model being loaded while a target only unloads one.
 UNLOADING = ''
-# A removed entry may come back for so long if its target still answers.
-REMOVED_GRACE = timedelta(milliseconds=1500)
 # A target heard within this time counts as alive.
 HEARD_LATELY = timedelta(milliseconds=1200)
 
@@ -91,16 +89,13 @@
 def is_serving(target: Target, now: timedelta) -> bool:
     """Tell whether the registry lets a target get new requests.
 
-    An entry that was just removed may come back, if its target answers.
+    An entry that was just removed may have lapsed, if its target answers.
     """
     if target.entry.is_draining or target.replaced_until > now:
         return False
     if target.removed_at is None:
         return True
-    return (
-        now - target.removed_at < REMOVED_GRACE
-        and now - target.heard_at < HEARD_LATELY
-    )
+    return now < target.serves_until and now - target.heard_at < HEARD_LATELY
 
 
 def pick(
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -81,7 +81,10 @@
 
 @dataclass(slots=True)
 class Target:
-    """One target with all that is believed of it."""
+    """One target with all that is believed of it.
+
+    Once removed, it still gets requests up to `serves_until` if it answers.
+    """
 
     entry: TargetEntry
     report: TargetReport | None = None
@@ -94,6 +97,7 @@
     absent_models: set[str] = field(default_factory=set)
     in_flight: dict[int, InFlight] = field(default_factory=dict)
     removed_at: timedelta | None = None
+    serves_until: timedelta = timedelta()
     replaced_until: timedelta = timedelta()
 
     @property
@@ -228,11 +232,17 @@
             if target.entry.started_ms < newest.entry.started_ms:
                 target.note_replaced(now)
 
-    def mark_removed(self, target_id: str, now: timedelta) -> None:
+    def mark_removed(
+        self,
+        target_id: str,
+        now: timedelta,
+        serves_until: timedelta,
+    ) -> None:
         """Note that the registry lists a target no more."""
         target = self.by_id.get(target_id)
         if target is not None and target.removed_at is None:
             target.removed_at = now
+            target.serves_until = serves_until
 
     def forget(self, target_id: str) -> None:
         """Drop a target."""
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -14,6 +14,7 @@
 
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_contracts.log import LogFailure, LogFault, RecordBatch
+from verbenamux_platform.entries import decode_target
 from verbenamux_platform.feeds import follow_servers
 from verbenamux_platform.following import Source
 from verbenamux_platform.store import KeyedRecord, Newest, keyed_record
@@ -245,6 +246,7 @@
 
 
 LEADS = [None, in_order, silent, held_up, cut_off]
+READY = msgspec.json.encode(ENTRY)
 DRAINING = msgspec.json.encode(ENTRY | {'state': 'draining'})
 CALM_AND_BUSY = [(False, 2000 * MS), (True, 2000 * MS), (True, 3000 * MS)]
 
@@ -272,3 +274,24 @@
         for at in PHASES
     ]
     assert max(took) <= drain * (1 - MARGIN)
+
+
+def test_an_entry_that_lapsed_while_the_store_was_away_is_used_on():
+    """Its target answers all the while, and is back in the registry soon."""
+    back_at = STARTS_AT + 3000 * MS
+    host = Host(2000 * MS)
+    host.registry.silent = (STARTS_AT, back_at)
+    host.registry.take(STARTS_AT + 1500 * MS, b'')
+    host.follow()
+    used_for = host.last_send_at() - back_at
+    assert 1000 * MS <= used_for <= host.gateway.setup.leaving.stable_window
+
+
+def test_an_engine_that_restarted_at_the_address_ends_the_old_one():
+    host = Host(2000 * MS)
+    host.gateway.put_target(decode_target('i-1', READY).unwrap())
+    host.gateway.remove_target('i-1')
+    target = host.gateway.beliefs.book.by_id['i-1']
+    target.heard_at = host.clock.elapsed()
+    assert not is_serving(target, host.clock.elapsed())
+    host.gateway.server.close()
