Bound the time in which a gateway learns that a target leaves

The chain from the store's word to a gateway's knowledge was not bounded by drain_ms. With the constants as they were it took 500 ms of pause, 1,500 ms for a read without an answer, 150 ms of backoff and 500 ms of pause again, 2,650 ms; through a lead that was held up behind its read, and then silent, up to 1,500 + 1,500 ms.

Change: - pause, waiting read, patience with the lead and the limit of a call follow from drain_ms (250, 200, 100 and 175 of 1,000; the pause 500 ms at most, as it was), the bound that the settings state - the first call behind one that failed neither pauses nor waits nor asks - a lead that was held up behind its read answers that it can't tell, and who asked reads the store at once - calls to the store go on connections that worked within 2 s, and a failed call closes the idle ones, so that trouble that is over costs no call The time at which keys count as confirmed is still the time of the ask or of the read; a held-up lead now gives none where it gave an old one.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -306,12 +306,14 @@
     address: Address,
     outgoing: Outgoing,
     timeout: timedelta,
+    idle_most: timedelta | None = None,
 ) -> tuple[ResponseHead, bytes]:
     """Make one bounded call and return its whole answer.
 
-    Raises ExchangeFailure. The peer may have acted unless it is UNSENT.
+    `idle_most` passes over connections that were idle for longer. Raises
+    ExchangeFailure. The peer may have acted unless it is UNSENT.
     """
-    connection = pool.take(address, timeout)
+    connection = pool.take(address, timeout, idle_most)
     try:
         exchange = connection.start(outgoing)
     except ExchangeFailure:
--- a/libs/relay/src/verbenamux_relay/leaving.py
+++ b/libs/relay/src/verbenamux_relay/leaving.py
@@ -3,9 +3,21 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from verbenamux_relay.sharing import Patience
+
 # The part of the bound that is left for the send itself: choosing, a held-up
 # loop, a new connection, the way there.
 MARGIN_PART = 0.1
+# Check-ins of many targets are read together in the pause before a read; the
+# parts of the bound that it, the waiting read, a late answer of the gateway
+# that reads, and a call without an answer may take. The sum of the longest
+# chain is in docs/PROOFS.md.
+PAUSE_PART = 0.25
+WAIT_PART = 0.2
+LATENESS_PART = 0.1
+CALL_PART = 0.175
+# Longer pauses would make new targets wait, whatever the bound.
+PAUSE_MOST = timedelta(milliseconds=500)
 # A target whose entry lapsed while the store was away is back about two
 # seconds behind its return; gateways have found it gone some time before.
 LAPSE_MOST = timedelta(milliseconds=1500)
@@ -22,6 +34,15 @@
     drain: timedelta
     stable_window: timedelta
 
+    def patience(self) -> Patience:
+        """Return how the registry is read to keep the bound."""
+        return Patience(
+            wait=self.drain * WAIT_PART,
+            pause=min(self.drain * PAUSE_PART, PAUSE_MOST),
+            lateness=self.drain * LATENESS_PART,
+            call_most=self.drain * CALL_PART,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class News:
--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -32,7 +32,10 @@
 # Asks that wait in one gateway; more are left without an answer.
 ASKS_MOST = 1000
 
-ReadTopic = Callable[[str, int, timedelta], Result[RecordBatch, LogFailure]]
+ReadTopic = Callable[
+    [str, int, timedelta, timedelta | None],
+    Result[RecordBatch, LogFailure],
+]
 ReadShared = Callable[[str, int, 'Patience'], Result['Reading', LogFailure]]
 Answer = Callable[[bytes, ReadReply], object]
 
@@ -53,11 +56,24 @@
 class Patience:
     """How the store is read: how long a read waits, and pauses before it.
 
-    In the pause news is gathered, and other gateways ask for the read.
+    In the pause news is gathered, and other gateways ask for the read. The
+    gateway that reads may take `lateness` beyond both, the store `call_most`
+    beyond the wait; None leaves that to the client.
     """
 
     wait: timedelta
     pause: timedelta = timedelta()
+    lateness: timedelta = ANSWER_MOST
+    call_most: timedelta | None = None
+
+    def at_once(self) -> 'Patience':
+        """Return the same without any wait: read now, and directly."""
+        return replace(self, wait=timedelta(), pause=timedelta())
+
+    @property
+    def is_at_once(self) -> bool:
+        """Tell whether there is no time to ask another gateway."""
+        return not self.wait and not self.pause
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,18 +153,18 @@
         patience: Patience,
     ) -> Result[Reading, LogFailure]:
         """Read records from an offset on, waiting a while for the first."""
-        link = self._lead()
+        link = None if patience.is_at_once else self._lead()
         if link is not None and self._clock.elapsed() >= self._lead_rests_until:
             asked = self._ask(link, topic, from_offset, patience)
             if asked is not None:
                 self._count('reads_total', topic=topic, by='peer')
-                self._share(topic, Success(asked))
+                self._share(topic, Success(asked), patience)
                 return Success(asked)
             # The time to wait for news is spent.
-            patience = Patience(timedelta())
+            patience = patience.at_once()
         self._count('reads_total', topic=topic, by='store')
         found = self._read_directly(topic, from_offset, patience)
-        self._share(topic, found)
+        self._share(topic, found, patience)
         return found
 
     def hear(self, sender: bytes, ask: ReadAsk) -> None:
@@ -157,6 +173,13 @@
         if len(asks) < ASKS_MOST:
             asks.append(_Waiting(self._clock.elapsed(), sender, ask))
 
+    def _is_old(self, reading: Reading, patience: Patience) -> bool:
+        age_most = patience.wait + patience.lateness
+        known_at = reading.known_at
+        return known_at is not None and (
+            self._clock.elapsed() - known_at > age_most
+        )
+
     def _ask(
         self,
         link: PeerLink,
@@ -169,7 +192,7 @@
         reply = link.ask(
             ask_id,
             ReadAsk(ask_id, topic, from_offset),
-            patience.wait + patience.pause + ANSWER_MOST,
+            patience.wait + patience.pause + patience.lateness,
         )
         if not isinstance(reply, ReadReply):
             self._lead_rests_until = self._clock.elapsed() + LEAD_REST
@@ -193,14 +216,21 @@
         self,
         name: str,
         found: Result[Reading, LogFailure],
+        patience: Patience,
     ) -> None:
-        """Answer all who wait; fresh for those who asked before the read."""
+        """Answer all who wait; fresh for those who asked before the read.
+
+        A gateway that was held up behind its read vouches for nothing: the
+        store has taken more meanwhile.
+        """
         topic = self._topics[name]
         asks = topic.asks
         topic.asks = []
         reading = found.value_or(None)
         if reading is not None:
             topic.keep(reading.batch)
+            if self._is_old(reading, patience):
+                reading = None
         for waiting in asks:
             self._answer(waiting.sender, _reply(topic, waiting, reading))
 
@@ -227,7 +257,12 @@
     ) -> Result[Reading, LogFailure]:
         clock.sleep(patience.pause)
         began_at = clock.elapsed()
-        found = read_store(topic, from_offset, patience.wait)
+        found = read_store(
+            topic,
+            from_offset,
+            patience.wait,
+            patience.call_most,
+        )
         return found.map(lambda batch: Reading(batch, began_at)).alt(
             lambda failure: replace(failure, began_at=began_at),
         )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -137,3 +137,14 @@
     assert store.read('topic', 0).unwrap().bodies == ()
     gevent.sleep(0.3)
     assert store.read('topic', 0).unwrap().bodies == (b'late',)
+
+
+def test_a_call_that_failed_leaves_no_idle_connection(store, faults):
+    """What broke it may have broken the others; the next one opens anew."""
+    reads = [gevent.spawn(store.read, 'topic', 0, WAIT) for _ in range(3)]
+    gevent.joinall(reads)
+    assert store._pool.idle_count() == 3
+    faults.delay_ms = 300
+    failure = store.read('topic', 0, timedelta(), WAIT).failure()
+    assert failure.fault is LogFault.UNANSWERED
+    assert store._pool.idle_count() == 0
--- a/tests/relay/test_sharing.py
+++ b/tests/relay/test_sharing.py
@@ -31,7 +31,7 @@
         self.is_down = False
         self.during = lambda: None
 
-    def read(self, _topic, from_offset, _wait):
+    def read(self, _topic, from_offset, _wait, _call_most=None):
         self.reads += 1
         self.during()
         if self.is_down:
@@ -150,7 +150,7 @@
     patience = Patience(SECOND * 0.1, SECOND * 0.01)
     lead, asker = Gateway(clock), Gateway(clock)
 
-    def wait_and_read(topic, from_offset, wait):
+    def wait_and_read(topic, from_offset, wait, _call_most):
         gevent.sleep(wait.total_seconds())
         return lead.store.read(topic, from_offset, wait)
 
@@ -209,3 +209,20 @@
     clock.advance(LEAD_REST)
     asker.shared.read('t', 0, WAIT)
     assert clock.elapsed() > before + LEAD_REST
+
+
+def test_a_lead_that_was_held_up_vouches_for_nothing(clock, asker, lead):
+    """It froze between its read and the answers to those who asked."""
+    lead.store.during = lambda: clock.advance(WAIT.wait + 2 * WAIT.lateness)
+    asker.store.records = [b'a', b'b', b'c']
+    found = asker.shared.read('t', 0, WAIT).unwrap()
+    assert found.batch.bodies == (b'a', b'b', b'c')
+    assert asker.store.reads == 1
+
+
+def test_a_read_that_may_not_wait_asks_nobody(clock, asker, lead):
+    before = clock.elapsed()
+    asker.store.records = [b'a']
+    found = asker.shared.read('t', 0, WAIT.at_once()).unwrap()
+    assert found.batch.bodies == (b'a',)
+    assert (clock.elapsed(), lead.store.reads) == (before, 0)
