Look once more whether the target leaves before a request is sent

Between the choice of a target and the send an adapter may be loaded and a connection opened (400 ms at most); a target that left in that time still got the request. It goes to another target now, as not run.

The new test in tests/platform/test_relaying.py failed before (both cases: the target that left had the request).

--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -19,6 +19,7 @@
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
 from verbenamux_relay.events import EventSplitter, StreamEvent
 from verbenamux_relay.job import Job
+from verbenamux_relay.picking import is_serving
 from verbenamux_relay.targets import InFlight, Target
 
 # How long a new connection may take before another target is tried.
@@ -129,6 +130,10 @@
             arrived=False,
             is_unreachable=True,
         )
+    if not is_serving(sent.target, sent.tools.clock.elapsed()):
+        # It was chosen a while ago: connecting takes time, loading more.
+        connection.close()
+        return Outcome(Ending.NOT_RUN, 'the target leaves', arrived=False)
     try:
         exchange = connection.start(_outgoing(sent))
     except ExchangeFailure as failure:
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1,5 +1,6 @@
 """One request through a gateway to targets over real sockets on loopback."""
 
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 from random import Random
@@ -459,3 +460,32 @@
     world = World(FakeTarget(DONE))
     assert world.ask(header).status == 400
     assert not world.sent()
+
+
+@pytest.mark.parametrize('is_draining', [True, False])
+def test_a_target_that_leaves_before_the_send_gets_nothing(
+    monkeypatch,
+    is_draining,
+):
+    """The word came while an adapter was loaded or a connection opened."""
+    world = World(
+        FakeTarget(DONE), FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT
+    )
+    take = ConnectionPool.take
+    left = []
+
+    def leave(pool, address, *limits):
+        for target in list(world.book.by_id.values()):
+            if target.entry.address == address and not left:
+                now = world.clock.elapsed()
+                left.append(target.entry.target_id)
+                entry = replace(target.entry, is_draining=is_draining)
+                world.book.put(entry, now)
+                if not is_draining:
+                    world.book.mark_removed(left[0], now, now)
+        return take(pool, address, *limits)
+
+    monkeypatch.setattr(ConnectionPool, 'take', leave)
+    assert world.ask().status == 200
+    assert not world.targets[left[0]].requests
+    assert len(world.sent()) == 1
