--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -461,14 +461,16 @@
     outgoing: Outgoing,
     timeout: timedelta,
     body_time: timedelta = BODY_TIME,
+    idle_most: timedelta | None = None,
 ) -> tuple[ResponseHead, bytes]:
     """Make one bounded call and return its whole answer.
 
     `timeout` is for the head, then for each piece of the body, and
-    `body_time` for the whole body. Raises ExchangeFailure. The peer may
-    have acted unless it is UNSENT.
+    `body_time` for the whole body; `idle_most` passes over connections that
+    were idle for longer. Raises ExchangeFailure. The peer may have acted
+    unless it is UNSENT.
     """
-    connection = pool.take(address, timeout)
+    connection = pool.take(address, timeout, idle_most)
     exchange = connection.start(outgoing, timeout)
     try:
         head = exchange.read_head(timeout)
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -765,4 +765,32 @@
         patch.setattr(FakeReply, 'send_piece', send_slowly)
         reply = world.ask({'Deadline-Ms': '4000'})
     assert reply.is_complete
+
+
+@pytest.mark.parametrize('is_draining', [True, False])
+def test_a_target_that_leaves_before_the_send_gets_nothing(
+    monkeypatch,
+    is_draining,
+):
+    """The word came while an adapter was loaded or a connection opened."""
+    world = World(
+        FakeTarget(DONE), FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT
+    )
+    take = ConnectionPool.take
+    left = []
+
+    def leave(pool, address, *limits):
+        for target in list(world.book.by_id.values()):
+            if target.entry.address == address and not left:
+                now = world.clock.elapsed()
+                left.append(target.entry.target_id)
+                entry = replace(target.entry, is_draining=is_draining)
+                world.book.put(entry, now)
+                if not is_draining:
+                    world.book.mark_removed(left[0], now, now)
+        return take(pool, address, *limits)
+
+    monkeypatch.setattr(ConnectionPool, 'take', leave)
+    assert world.ask().status == 200
+    assert not world.targets[left[0]].requests
     assert len(world.sent()) == 1
