Leave a target that fell silent, whenever it was heard last

Cause: a wait for the next bytes went on, and a target was not suspect, if the target had been heard since the request was sent, however long ago. One event of another stream, or one report of the keeper, a moment after the send kept a request at a dead target to its end.

Ruled out: a patience that is too long. Requests that were sent after the target's last word were given up after 1.2 s, as is meant.

Change: a target is suspect SUSPECT_AFTER after its last word to anybody; waiting on ends with that.

Tests: three requests at a target that answers a fourth and falls silent, before and behind a first event, and is_suspect by itself; all three failed before. A busy target that answers others is still waited for.

--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -174,7 +174,7 @@
 
 def _follow(sent: Send, exchange: Exchange) -> Outcome:
     """Read the answer and decide what it is worth."""
-    head = _await(sent, lambda: exchange.read_head(_patience(sent)))
+    head = _await(sent, exchange.read_head)
     sent.note_heard()
     terms = sent.tools.dialect.read_answer(head)
     _note_load(sent, terms)
@@ -259,15 +259,12 @@
     head: ResponseHead,
     splitter: EventSplitter,
 ) -> None:
-    def read() -> bytes | None:
-        return exchange.read_piece(_patience(sent))
-
-    piece = _await(sent, read)
+    piece = _await(sent, exchange.read_piece)
     while piece is not None:
         sent.note_heard()
         for event in splitter.feed(piece):
             _pass_event(sent, head, event)
-        piece = _await(sent, read)
+        piece = _await(sent, exchange.read_piece)
 
 
 def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
@@ -299,25 +296,35 @@
     return min(left, patience)
 
 
-def _await(sent: Send, read: Callable[[], Received]) -> Received:
+def _await(sent: Send, read: Callable[[timedelta], Received]) -> Received:
     """Read with patience, and on while the target answers others.
 
     A busy target is late for all; to break off there and send anew would
     only add to its work.
     """
+    wait = _patience(sent)
     while True:
         try:
-            return read()
+            return read(wait)
         except ExchangeFailure as failure:
-            if _is_final(sent, failure):
+            wait = _more_patience(sent)
+            if failure.fault is not Fault.TIMED_OUT or wait <= timedelta():
                 raise
 
 
-def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
-    if failure.fault is not Fault.TIMED_OUT:
-        return True
-    is_alive = sent.target.heard_at > sent.in_flight.heard_at
-    return not is_alive or sent.time_left() <= timedelta()
+def _more_patience(sent: Send) -> timedelta:
+    """Return how long to wait on: until the target is suspect.
+
+    That it answered others once this request was sent is not enough: it may
+    have ended since.
+    """
+    if sent.target.heard_at <= sent.in_flight.heard_at:
+        return timedelta()
+    now = sent.tools.clock.elapsed()
+    return min(
+        sent.target.suspect_at(sent.in_flight) - now,
+        sent.job.time_left(now),
+    )
 
 
 def _classify(failure: ExchangeFailure) -> Outcome:
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -135,13 +135,15 @@
         )
 
     def is_suspect(self, now: timedelta) -> bool:
-        """Tell whether it has been silent on a request for too long."""
+        """Tell whether it has been silent on all for too long."""
         return any(
-            now - sent.heard_at > SUSPECT_AFTER
-            and self.heard_at <= sent.heard_at
-            for sent in self.in_flight.values()
+            self.suspect_at(sent) < now for sent in self.in_flight.values()
         )
 
+    def suspect_at(self, sent: InFlight) -> timedelta:
+        """Return when it is suspect unless it says anything before."""
+        return max(sent.heard_at, self.heard_at) + SUSPECT_AFTER
+
     def has_silent_keeper(self, now: timedelta) -> bool:
         """Tell whether its keeper reported before, and stopped."""
         report = self.report
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1,5 +1,6 @@
 """One request through a gateway to targets over real sockets on loopback."""
 
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 from random import Random
@@ -147,6 +148,7 @@
         self.service = Service('service', 100)
         self.allowance = Allowance(self.clock.elapsed)
         self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
+        self.sequence = count(1)
 
     def knowledge(self):
         catalog = Catalog(
@@ -193,7 +195,7 @@
             ),
             demand=demand,
             budget_of=lambda _service: self.budget,
-            sequence=count(1),
+            sequence=self.sequence,
         )
 
     def ask(self, headers=(), key='key', body=b''):
@@ -348,6 +350,66 @@
     assert resumed.headers.get('Last-Event-Id') == '2'
 
 
+SILENT = [b'']
+STREAM = [STREAM_HEAD, event(1), event(2), b'0\r\n\r\n']
+FIRST_ONLY = [STREAM_HEAD, event(1)]
+# How long callers stay, and by when a silent target must be left: twice what
+# makes it suspect, and some for a busy processor.
+STAY = {'Deadline-Ms': '6000'}
+LEFT_BY = timedelta(seconds=2.5)
+
+
+def streams(*targets):
+    """Return a world of resumable streams that go to the first target."""
+    world = World(*targets, kind=RouteKind.STREAMING, is_resumable=True)
+    world.route = replace(world.route, timeout=SECOND * 6)
+    world.book.by_id['t1'].failure_rate = 0.5
+    return world
+
+
+def outcomes(world, callers):
+    """Return how callers that come 20 ms apart end, and how long it took."""
+
+    def ask():
+        started = world.clock.elapsed()
+        reply = world.ask(STAY)
+        return reply, world.clock.elapsed() - started
+
+    asking = []
+    for _ in range(callers):
+        asking.append(gevent.spawn(ask))
+        gevent.sleep(0.02)
+    gevent.joinall(asking, raise_error=True)
+    return [caller.value for caller in asking]
+
+
+@pytest.mark.parametrize('answer', [SILENT, FIRST_ONLY])
+def test_a_target_that_falls_silent_is_left_by_all_requests(answer):
+    """inc-ccbf: a target crashed, and its connections went silent.
+
+    It answered another request once these were sent, so that they waited on
+    until their callers left: 'heard since' was taken for 'alive'.
+    """
+    world = streams(
+        FakeTarget(answer, answer, answer, STREAM),
+        FakeTarget(*[STREAM] * 4),
+    )
+    ended = outcomes(world, 4)
+    assert [reply.is_complete for reply, _ in ended] == [True] * 4
+    assert len(world.targets['t1'].requests) == 3
+    assert max(took for _, took in ended) < LEFT_BY
+
+
+def test_a_busy_target_that_answers_others_is_waited_for():
+    """To break off at a target that is late for all only adds work."""
+    late = [b'', *[b''] * 100, *STREAM]
+    pieces = [STREAM_HEAD, *map(event, range(120)), b'0\r\n\r\n']
+    world = streams(FakeTarget(late, pieces), FakeTarget(STREAM, STREAM))
+    ended = outcomes(world, 2)
+    assert all(reply.is_complete for reply, _ in ended)
+    assert not world.targets['t1'].requests
+
+
 def test_a_stream_that_can_not_be_resumed_never_looks_complete():
     broken = [STREAM_HEAD, event(1), None]
     world = World(FakeTarget(broken), kind=RouteKind.STREAMING)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -7,6 +7,8 @@
 from verbenamux_relay.picking import is_serving
 from verbenamux_relay.targets import (
     REPLACED_REST,
+    SUSPECT_AFTER,
+    InFlight,
     Target,
     TargetBook,
     TargetEntry,
@@ -73,3 +75,15 @@
     later = NOW + timedelta(seconds=2)
     target.load_at = later
     assert target.waiting(later) == 0
+
+
+def test_a_target_is_suspect_once_it_is_silent_whenever_it_was_heard():
+    """inc-ccbf: it answered others just after a send, and then crashed."""
+    target = Target(entry('a', 1000))
+    target.in_flight[1] = InFlight(NOW, NOW, 100, 100)
+    heard_at = NOW + SUSPECT_AFTER / 9
+    target.heard_at = heard_at
+    assert not target.is_suspect(heard_at + SUSPECT_AFTER)
+    assert target.is_suspect(heard_at + SUSPECT_AFTER * 1.1)
+    target.in_flight.clear()
+    assert not target.is_suspect(heard_at + SUSPECT_AFTER * 2)
