Report nothing of an engine that does not answer its keeper

Cause: a keeper whose read of its engine failed went on telling the report it had read last, twice a second and on each greeting. Gateways took that for a sign of the engine's life: they never suspected it, waited on for what they had sent there, and counted its models as places for loads.

Change: a keeper tells nothing while its newest read got no answer. Gateways see a silent keeper then, as when it ends with its host.

--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -82,10 +82,15 @@
 
 @dataclass(slots=True)
 class KeeperState:
-    """All that a keeper knows; times are monotonic."""
+    """All that a keeper knows; times are monotonic.
+
+    `engine` is as last read; `is_heard` tells whether the newest read got an
+    answer.
+    """
 
     target_id: str | None = None
     engine: EngineState | None = None
+    is_heard: bool = False
     notice: EngineNotice | None = None
     fencing_token: int | None = None
     ordering: str | None = None
@@ -148,6 +153,7 @@
         """Read the engine; a restarted one is identified anew."""
         read = self._port.read()
         known = self.state.engine
+        self.state.is_heard = read is not None
         if read is None:
             return None
         is_restarted = (
@@ -168,8 +174,12 @@
         return read
 
     def tell(self) -> None:
-        """Tell gateways what changed, if it is due."""
-        if self.state.engine is not None and self.state.target_id is not None:
+        """Tell gateways what changed, if it is due.
+
+        Nothing of an engine that does not answer: a report tells that it
+        lives.
+        """
+        if self.state.is_heard and self.state.target_id is not None:
             self._reporter.tell(self._report())
 
     def _report(self) -> KeeperReport:
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -23,7 +23,12 @@
     OrderKind,
 )
 from verbenamux_keeper.holding import fits
-from verbenamux_keeper.keeper import RUN_NEWS, EnginePlace, Keeper
+from verbenamux_keeper.keeper import (
+    READ_PERIOD,
+    RUN_NEWS,
+    EnginePlace,
+    Keeper,
+)
 from verbenamux_keeper.pacing import StorePace
 
 NOTICE = EngineNotice(
@@ -55,6 +60,7 @@
         self.late = []
         self.orders = 0
         self.running = set()
+        self.is_silent = False
 
     def port(self):
         return EnginePort(
@@ -70,6 +76,8 @@
 
     def read(self):
         self.settle()
+        if self.is_silent:
+            return None
         return EngineState(
             adapters_by_model={
                 model: frozenset(adapters)
@@ -188,6 +196,31 @@
     assert reports[-1].models == ('m1',)
 
 
+def test_an_engine_that_crashed_is_not_told_of(keeper, sent, engine, clock):
+    """inc-ccbf: gateways took the keeper's word for the engine's life.
+
+    A keeper that reads nothing knows nothing: it must be as silent as its
+    engine, however often gateways ask.
+    """
+
+    def read_and_tell():
+        sent.clear()
+        for _ in range(20):
+            clock.advance(READ_PERIOD)
+            keeper.refresh()
+            keeper.tell()
+            keeper.receive(b'gateway', KeeperHello('g', wants_report=True))
+        return len(sent)
+
+    assert read_and_tell()
+    engine.is_silent = True
+    assert not read_and_tell()
+    engine.is_silent = False
+    engine.restart()
+    assert read_and_tell()
+    assert sent[-1][1].target_id == 'engine-2'
+
+
 def test_memory_is_never_overrun(keeper, sent, engine, clock):
     for name in ('m1', 'm2'):
         assert ask(keeper, sent, name).in_place
