--- /dev/null
+++ b/tests/relay/test_loading.py
@@ -0,0 +1,75 @@
+"""When a model should be in place, by what a gateway knows."""
+
+from datetime import timedelta
+
+import pytest
+
+from verbenamux_relay.catalog import EngineTerms, ModelTerms, Service
+from verbenamux_relay.loading import Loader
+from verbenamux_relay.placing import Demand
+from verbenamux_relay.targets import TargetBook, TargetEntry, TargetReport
+
+SECOND = timedelta(seconds=1)
+COLD, DISK, WARM = SECOND * 4, SECOND * 0.8, SECOND * 0.4
+MODEL = ModelTerms('m', 1, COLD, DISK, WARM)
+SERVICE = Service('s', 10, EngineTerms(1, 1, 1, 1, 1, {'m': MODEL}))
+
+
+@pytest.fixture
+def book():
+    return TargetBook()
+
+
+@pytest.fixture
+def loader(book, clock):
+    clock.advance(SECOND * 100)
+    return Loader(
+        book,
+        lambda _target: None,
+        clock,
+        lambda _event, **fields: None,
+        lambda _name, **labels: None,
+        lambda: Demand({}, {}),
+    )
+
+
+def put(book, clock, name, **holds):
+    entry = TargetEntry(name, 's', ('10.0.0.1', len(book.by_id)), 'z', 8)
+    book.put(entry, clock.elapsed())
+    if holds:
+        book.by_id[name].report = TargetReport(name, clock.elapsed(), **holds)
+
+
+@pytest.mark.parametrize(
+    ('held', 'soonest'),
+    [
+        ([], COLD),
+        ([{'store_loads_ready': False}], COLD),
+        ([{'active': 1}, {'on_disk': frozenset('m')}], DISK),
+        ([{'in_memory': frozenset('m')}], WARM),
+        ([{'active': 1}, {}], WARM),
+    ],
+)
+def test_without_a_load_a_model_takes_the_quickest_one(
+    book, loader, clock, held, soonest
+):
+    """A target without a word of its keeper may hold it in its memory."""
+    for number, holds in enumerate(held):
+        put(book, clock, f't{number}', **holds)
+    assert loader.expected_at(SERVICE, 'm') == clock.elapsed() + soonest
+
+
+def test_targets_whose_keepers_fell_silent_are_no_places(book, loader, clock):
+    put(book, clock, 't0', on_disk=frozenset('m'))
+    clock.advance(SECOND * 3)
+    assert loader.expected_at(SERVICE, 'm') == clock.elapsed() + COLD
+
+
+def test_a_load_that_is_late_is_expected_later_and_later(loader, clock):
+    ends_at = clock.elapsed() + COLD
+    loader._expected_by_model['m'] = ends_at
+    assert loader.expected_at(SERVICE, 'm') == ends_at
+    clock.advance(COLD)
+    assert loader.expected_at(SERVICE, 'm') == ends_at
+    clock.advance(SECOND)
+    assert loader.expected_at(SERVICE, 'm') == ends_at + SECOND * 2
