Revert what was tried for waits for a model:

A test of, that an overdue load isn't waited for to the end, failed in one of three runs: its next look could come after the allowed time. It goes with the change, like the other tests of the three.

--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -1,6 +1,6 @@
 """Getting models and adapters into place, through the keepers."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -17,7 +17,7 @@
 )
 from verbenamux_relay.catalog import EngineTerms, Service
 from verbenamux_relay.picking import holdings
-from verbenamux_relay.placing import Demand, Move, load_time, place
+from verbenamux_relay.placing import Demand, Move, place
 from verbenamux_relay.targets import Target, TargetBook
 from verbenamux_relay.terms import RequestTerms
 from verbenamux_runtime.peers import PeerLink
@@ -62,14 +62,9 @@
         self._changed.set()
         self._changed.clear()
 
-    def expected_at(self, service: Service, model: str) -> timedelta | None:
-        """Return when a model should be in place, if it is being loaded.
-
-        A load that is late by some time is taken to need as much again.
-        """
-        now = self.clock.elapsed()
-        left = [abs(end - now) for end in self._ends(service, model)]
-        return now + min(left) if left else None
+    def expected_at(self, model: str) -> timedelta | None:
+        """Return when a model should be in place, if it is being loaded."""
+        return self._expected_by_model.get(model)
 
     def await_model(
         self,
@@ -164,19 +159,6 @@
                 return None
         return asking.value
 
-    def _ends(self, service: Service, model: str) -> Iterator[timedelta]:
-        """Yield when the loads of a model under way should end."""
-        engine = service.engine
-        if model in self._expected_by_model:
-            yield self._expected_by_model[model]
-        if engine is None or model not in engine.models_by_name:
-            return
-        terms = engine.models_by_name[model]
-        for holding in holdings(self.book, service.name, self.clock.elapsed()):
-            if holding.loading == model:
-                took = UNLOAD_TIME + load_time(terms, holding)
-                yield holding.ordered_at + took
-
     def _load_somewhere(self, service: Service, model: str) -> None:
         try:
             self._ask_best(service, model)
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -168,7 +168,6 @@
         loading=_loading(report),
         may_load_cold=report.store_loads_ready,
         running=report.active,
-        ordered_at=report.ordered_at,
     )
 
 
--- a/libs/relay/src/verbenamux_relay/placing.py
+++ b/libs/relay/src/verbenamux_relay/placing.py
@@ -37,8 +37,8 @@
     """A target as a place for models.
 
     `may_load_cold` is false while its part of the weight store's pace is
-    spent; `loading` names the model that it is loading now, asked for at
-    `ordered_at`; `running` counts its requests.
+    spent; `loading` names the model that it is loading now, `running` counts
+    its requests.
     """
 
     target_id: str
@@ -48,7 +48,6 @@
     loading: str | None = None
     may_load_cold: bool = True
     running: int = 0
-    ordered_at: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -51,8 +51,6 @@
 # How long a model that is not in place is waited for, as a part of the time
 # that the caller stays.
 MODEL_WAIT_PART = 0.85
-# A load that began just now or is late is looked at no more often than this.
-LOOK_LEAST = timedelta(milliseconds=50)
 # Callers leave a stream without events after the longer of these.
 STAY_LEAST = timedelta(seconds=2)
 STAY_FACTOR = 4
@@ -265,13 +263,12 @@
         return False
     now = tools.now()
     allowed = job.arrived_at + _stay(job) * MODEL_WAIT_PART
-    expected = tools.loader.expected_at(job.service, model)
+    expected = tools.loader.expected_at(model)
     if max(now, expected or now) >= allowed:
         job.steps.append('the model is not in place in time')
         job.expected_at = expected
         return False
-    until_look = max((expected or now) - now, LOOK_LEAST)
-    tools.loader.await_model(job.service, model, until_look)
+    tools.loader.await_model(job.service, model, allowed - now)
     return True
 
 
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -4,14 +4,12 @@
 from datetime import timedelta
 from itertools import count
 from random import Random
-from types import SimpleNamespace
 
 import gevent
 import pytest
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_contracts.messages import LoadReply
 from verbenamux_http.client import ConnectionPool
 from verbenamux_http.errors import CallerGone
 from verbenamux_http.headers import Headers
@@ -37,7 +35,7 @@
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.sending import SendTools
 from verbenamux_relay.settling import Knowledge, SettleTools
-from verbenamux_relay.targets import TargetBook, TargetEntry, TargetReport
+from verbenamux_relay.targets import TargetBook, TargetEntry
 from verbenamux_runtime.metrics import Metrics
 
 SECOND = timedelta(seconds=1)
@@ -151,18 +149,6 @@
         self.allowance = Allowance(self.clock.elapsed)
         self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
         self.sequence = count(1)
-        self.asked = []
-        self.load_takes = timedelta()
-
-    def link_of(self, target_id):
-        """Return a link to a keeper that takes its time and loads nothing."""
-
-        def ask(ask_id, message, _timeout):
-            self.asked.append((target_id, message.model))
-            self.clock.sleep(self.load_takes)
-            return LoadReply(ask_id, in_place=False, cause='no room')
-
-        return SimpleNamespace(ask=ask)
 
     def knowledge(self):
         catalog = Catalog(
@@ -201,7 +187,7 @@
             beliefs=Beliefs(self.book, PromptMemory(), PaceBook(), 'here'),
             loader=Loader(
                 self.book,
-                self.link_of,
+                lambda _target: None,
                 clock,
                 self.log,
                 lambda name, **labels: None,
@@ -526,40 +512,6 @@
     assert world.clock.elapsed() - started < SECOND
 
 
-COLD_LOAD = SECOND * 3
-MODEL = ModelTerms('m', 1, COLD_LOAD, SECOND, SECOND)
-ENGINE = EngineTerms(1, 1, 1, 1, 1, {'m': MODEL})
-
-
-def loading_world(**report):
-    """Return a world whose only target could load a model from the store."""
-    world = World(FakeTarget(DONE))
-    world.route = replace(world.route, timeout=SECOND * 6)
-    world.service = Service('service', 10, ENGINE)
-    target = world.book.by_id['t0']
-    target.report = TargetReport('t0', world.clock.elapsed(), **report)
-    keeping = gevent.spawn(keep_reporting, world, target)
-    return world, keeping
-
-
-def keep_reporting(world, target):
-    while True:
-        now = world.clock.elapsed()
-        target.report = replace(target.report, received_at=now)
-        gevent.sleep(0.2)
-
-
-def test_a_load_that_is_long_overdue_is_not_waited_for_to_the_end():
-    world, keeping = loading_world(on_disk=frozenset('m'))
-    world.load_takes = SECOND * 9
-    started = world.clock.elapsed()
-    reply = world.ask({'Model': 'm', 'Deadline-Ms': '5500'})
-    took = world.clock.elapsed() - started
-    keeping.kill()
-    assert reply.status == 503
-    assert SECOND * 2 < took < SECOND * 4
-
-
 def test_a_caller_that_leaves_ends_the_send():
     world = World(FakeTarget([b'HTTP/1.1 ', b'']))
     asking = gevent.spawn(world.ask)
