Revert sending a passed-over request elsewhere

Where a target is behind, later requests overtake earlier ones by turns, and each break adds a send.

The finding stays open: a request whose answer a living target loses is waited for to its end.

--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -133,11 +133,11 @@
         exchange = connection.start(_outgoing(sent))
     except ExchangeFailure as failure:
         connection.close()
-        return _classify(sent, failure)
+        return _classify(failure)
     try:
         return _follow(sent, exchange)
     except ExchangeFailure as failure:
-        return _classify(sent, failure)
+        return _classify(failure)
     finally:
         sent.tools.pool.give_back(sent.target.entry.address, exchange)
 
@@ -271,7 +271,6 @@
     job = sent.job
     if not sent.in_flight.is_started:
         sent.tools.on_first_event(job, sent.target, sent.in_flight)
-        sent.target.note_started(sent.in_flight, sent.urgency)
     _start_reply(sent, head)
     job.reply.send_piece(event.encoded)
     job.events += 1
@@ -317,33 +316,20 @@
     """Return how long to wait on: until the target is suspect.
 
     That it answered others once this request was sent is not enough: it may
-    have ended since, or have lost this one.
+    have ended since.
     """
-    target = sent.target
-    if not _answers_others(sent):
-        return timedelta()
-    if target.has_passed_over(sent.in_flight, sent.urgency):
+    if sent.target.heard_at <= sent.in_flight.heard_at:
         return timedelta()
     now = sent.tools.clock.elapsed()
     return min(
-        target.suspect_at(sent.in_flight) - now,
+        sent.target.suspect_at(sent.in_flight) - now,
         sent.job.time_left(now),
     )
 
 
-def _answers_others(sent: Send) -> bool:
-    """Tell whether a target that is silent on a request lives."""
-    now = sent.tools.clock.elapsed()
-    return (
-        sent.target.heard_at > sent.in_flight.heard_at
-        and sent.target.suspect_at(sent.in_flight) > now
-    )
-
-
-def _classify(sent: Send, failure: ExchangeFailure) -> Outcome:
-    is_late = failure.fault is Fault.TIMED_OUT
+def _classify(failure: ExchangeFailure) -> Outcome:
     return Outcome(
         Ending.UNKNOWN,
         failure.message,
-        is_unreachable=is_late and not _answers_others(sent),
+        is_unreachable=failure.fault is Fault.TIMED_OUT,
     )
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -81,11 +81,7 @@
 
 @dataclass(slots=True)
 class Target:
-    """One target with all that is believed of it.
-
-    `started_sent_at` is, by rank, when the request was sent that came last
-    of those with a first event.
-    """
+    """One target with all that is believed of it."""
 
     entry: TargetEntry
     report: TargetReport | None = None
@@ -99,7 +95,6 @@
     in_flight: dict[int, InFlight] = field(default_factory=dict)
     removed_at: timedelta | None = None
     replaced_until: timedelta = timedelta()
-    started_sent_at: dict[int | None, timedelta] = field(default_factory=dict)
 
     @property
     def models(self) -> frozenset[str]:
@@ -149,17 +144,6 @@
         """Return when it is suspect unless it says anything before."""
         return max(sent.heard_at, self.heard_at) + SUSPECT_AFTER
 
-    def note_started(self, sent: InFlight, rank: int | None) -> None:
-        """Note the first event of a request of a rank."""
-        known_at = self.started_sent_at.get(rank, sent.sent_at)
-        self.started_sent_at[rank] = max(sent.sent_at, known_at)
-
-    def has_passed_over(self, sent: InFlight, rank: int | None) -> bool:
-        """Tell whether much later requests of a rank had first events."""
-        if sent.is_started or rank not in self.started_sent_at:
-            return False
-        return self.started_sent_at[rank] - sent.sent_at > SUSPECT_AFTER
-
     def has_silent_keeper(self, now: timedelta) -> bool:
         """Tell whether its keeper reported before, and stopped."""
         report = self.report
