--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -323,20 +323,29 @@
     is late for all; to break off there and send anew would only add to its
     work.
     """
+    wait = _patience(sent, since)
     while True:
         try:
-            return read(_patience(sent, since))
+            return read(wait)
         except ExchangeFailure as failure:
-            if _is_final(sent, failure):
+            wait = _more_patience(sent)
+            if failure.fault is not Fault.TIMED_OUT or wait <= timedelta():
                 raise
-        since = sent.tools.clock.elapsed()
 
 
-def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
-    if failure.fault is not Fault.TIMED_OUT:
-        return True
-    is_alive = sent.target.heard_at > sent.in_flight.heard_at
-    return not is_alive or sent.time_left() <= timedelta()
+def _more_patience(sent: Send) -> timedelta:
+    """Return how long to wait on: until the target is suspect.
+
+    That it answered others once this request was sent is not enough: it may
+    have ended since.
+    """
+    if sent.target.heard_at <= sent.in_flight.heard_at:
+        return timedelta()
+    now = sent.tools.clock.elapsed()
+    return min(
+        sent.target.suspect_at(sent.in_flight) - now,
+        sent.job.time_left(now),
+    )
 
 
 def _classify(failure: ExchangeFailure) -> Outcome:
