Let a silent stream go on where no other target can resume it

A resumable stream was cut after 1.2 s of silence of its target, also when nothing else could go on with it: its caller lost an answer that came 0.3 s later. It waits for its deadline now unless another target can take it over.

--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from verbenamux_contracts.clock import to_milliseconds
 from verbenamux_http.errors import (
@@ -222,13 +223,7 @@
 def _choose(job: Job, last: Outcome | None, tools: RelayTools) -> Choice:
     """Return the target to send to; waits while its model is loaded."""
     while job.time_left(tools.now()) > timedelta():
-        query = Query(
-            job.service,
-            job.terms,
-            len(job.request.body),
-            frozenset(job.excluded),
-        )
-        found = pick(query, tools.beliefs, tools.now())
+        found = pick(_query(job), tools.beliefs, tools.now())
         choice: Choice | None
         if isinstance(found, Option):
             choice = _weigh(job, found, tools)
@@ -239,6 +234,21 @@
     return Choice()
 
 
+def _query(job: Job, *besides: str) -> Query:
+    """Return what a job asks for, of targets that it has not tried."""
+    return Query(
+        job.service,
+        job.terms,
+        len(job.request.body),
+        frozenset(job.excluded.union(besides)),
+    )
+
+
+def _has_other(job: Job, target: Target, tools: RelayTools) -> bool:
+    query = _query(job, target.entry.target_id)
+    return isinstance(pick(query, tools.beliefs, tools.now()), Option)
+
+
 def _wait(
     job: Job,
     lack: Lack,
@@ -351,7 +361,14 @@
         total_tokens=job.terms.prompt_tokens + job.terms.output_tokens,
     )
     tools.loader.note_adapter_use(target, job.terms)
-    sent = Send(job, target, in_flight, _rank(job), tools.sending)
+    sent = Send(
+        job,
+        target,
+        in_flight,
+        _rank(job),
+        tools.sending,
+        has_other=partial(_has_other, job, target, tools),
+    )
     with (
         job.waiting_for(Stage.HEAD),
         _counted(target, in_flight, tools.sequence),
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -100,13 +100,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """A job on its way to one target; `urgency` is its rank there."""
+    """A job on its way to one target; `urgency` is its rank there.
+
+    `has_other` tells whether another target could take the job over now.
+    """
 
     job: Job
     target: Target
     in_flight: InFlight
     urgency: int | None
     tools: SendTools
+    has_other: Callable[[], bool]
 
     def time_left(self) -> timedelta:
         """Return the time until the job's deadline."""
@@ -337,8 +341,11 @@
     """Return how long to wait on: until the target is suspect.
 
     That it answered others once this request was sent is not enough: it may
-    have ended since.
+    have ended since. A stream that no other target can go on with has
+    nothing to lose by waiting.
     """
+    if sent.in_flight.is_started and not sent.has_other():
+        return sent.time_left()
     if sent.target.heard_at <= sent.in_flight.heard_at:
         return timedelta()
     now = sent.tools.clock.elapsed()
