Give way to other requests beside a peer that is always ahead

While a target sends faster than the gateway reads, no other request of that gateway moves, and no time-out fires.

Cause: a receive that finds bytes does not wait, so the task never let others run; a stream of small pieces takes more time to read than to send.

Change: an answer's reader gives way after each 64 KiB it received.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from io import BytesIO
 
-from gevent import Greenlet, Timeout, socket, spawn
+from gevent import Greenlet, Timeout, sleep, socket, spawn
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
@@ -231,6 +231,7 @@
         self._socket = opened
         self._tools = tools
         self._parser = ResponseParser()
+        self._since_pause = 0
         self._sent = Event()
         self._sender: Greenlet | None = None
         if len(outgoing.body) <= DIRECT_BODY_BYTES:
@@ -354,6 +355,13 @@
             return
         self._sent.set()
 
+    def _let_others_work(self, received_bytes: int) -> None:
+        """Give way now and then: a fast peer never has this task wait."""
+        self._since_pause += received_bytes
+        if self._since_pause >= RECEIVE_BYTES:
+            self._since_pause = 0
+            sleep(0)
+
     def _receive_within(self, seconds: float) -> bytes:
         # The socket's own time-out would end the sending of a body as well.
         with Timeout(seconds, TimeoutError(seconds)):
@@ -370,6 +378,7 @@
             raise _receive_failure(error, seconds) from error
         if received:
             self._parser.feed(received)
+            self._let_others_work(len(received))
             return
         self._parser.finish()
         if not self._parser.is_complete:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import select
+import socket as threads
 from datetime import timedelta
+from threading import Thread
 
 import gevent
 import pytest
@@ -311,6 +313,40 @@
     assert target.was_closed.wait(1)
 
 
+def flood(listener):
+    """Send small chunks as fast as they are taken, from a thread."""
+    opened, _ = listener.accept()
+    with opened, contextlib.suppress(OSError):
+        opened.sendall(CHUNKED)
+        while True:
+            opened.sendall(b'a\r\n0123456789\r\n' * 10_000)
+
+
+def test_others_go_on_beside_a_peer_that_is_faster_than_the_reader(pool):
+    listener = threads.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    Thread(target=flood, args=(listener,), daemon=True).start()
+    connection = pool.take(listener.getsockname(), SOON)
+    exchange = connection.start(GET)
+    exchange.read_head(SOON)
+    turns = []
+
+    def work():
+        while True:
+            turns.append(True)
+            gevent.sleep(0)
+
+    other = gevent.spawn(work)
+    # About 100 receives; the peer has always sent more by then.
+    for _ in range(400_000):
+        exchange.read_piece(SOON)
+    other.kill()
+    exchange.close()
+    listener.close()
+    assert len(turns) > 20
+
+
 def test_bodies_share_room_but_for_a_small_part_of_each(monkeypatch):
     """What one target sends without end fails no other's answer."""
     monkeypatch.setattr(client, 'FREE_BODY_BYTES', 100)
