--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -26,6 +26,7 @@
 # How long a caller may take no bytes at all before it counts as gone.
 WRITE_STALL_MOST = timedelta(seconds=5)
 REQUEST_TIMEOUT = 408
+BAD_GATEWAY = 502
 UNAVAILABLE = 503
 REASON_BY_STATUS = {
     200: 'OK',
@@ -103,8 +104,11 @@
         return b''.join((start, *headers.encoded(), closing, b'\r\n'))
 
     def _write(self, encoded: bytes) -> None:
+        # Each send has the whole time limit, however long the answer is.
+        rest = memoryview(encoded)
         try:
-            self._socket.sendall(encoded)
+            while rest:
+                rest = rest[self._socket.send(rest) :]
         except OSError as error:
             raise CallerGone(repr(error)) from error
 
@@ -118,7 +122,8 @@
     """What a listener asks of the program behind it.
 
     `refuse` words the answer to bytes that are refused; `is_stopping` tells
-    whether connections are to be closed behind their answers.
+    whether connections are to be closed behind their answers; `report` gets
+    what `handle` raised.
     """
 
     handle: Handler
@@ -126,18 +131,16 @@
     limits: Callable[[], EdgeLimits]
     elapsed: Callable[[], timedelta]
     is_stopping: Callable[[], bool]
+    report: Callable[[Exception], None]
 
 
 class Listener:
-    """Accepts callers on an address until it is stopped.
-
-    `all_answered` is set while no request is arriving or being answered.
-    """
+    """Accepts callers on an address until it is stopped."""
 
     def __init__(self, address: tuple[str, int], callbacks: Callbacks) -> None:
         """Bind and accept."""
-        self.all_answered = Event()
-        self.all_answered.set()
+        self._all_answered = Event()
+        self._all_answered.set()
         self._callbacks = callbacks
         self._task_by_idle: dict[socket.socket, Any] = {}
         self._task_by_busy: dict[socket.socket, Any] = {}
@@ -161,6 +164,20 @@
         # The tasks of new connections have to begin before they count.
         sleep(0)
 
+    def wait_answered(self, most: timedelta) -> bool:
+        """Wait until no request is arriving or being answered.
+
+        Return false when one still is after the time allowed.
+        """
+        give_up_at = self._callbacks.elapsed() + most
+        while self.active:
+            left = give_up_at - self._callbacks.elapsed()
+            if left <= timedelta():
+                return False
+            # Another request may begin between the event and this task.
+            self._all_answered.wait(left.total_seconds())
+        return True
+
     def close_idle(self) -> None:
         """Close connections on which no request is arriving or answered.
 
@@ -180,9 +197,9 @@
         callers have `answers_most`.
         """
         self.close_idle()
-        if not self.all_answered.wait(open_most.total_seconds()):
+        if not self.wait_answered(open_most):
             self.interrupt()
-            self.all_answered.wait(answers_most.total_seconds())
+            self.wait_answered(answers_most)
 
     def interrupt(self) -> None:
         """Raise ListenerStopping in the task of each open request.
@@ -234,12 +251,12 @@
     def _note_busy(self, opened: socket.socket, task: Any) -> None:
         self._task_by_idle.pop(opened, None)
         self._task_by_busy[opened] = task
-        self.all_answered.clear()
+        self._all_answered.clear()
 
     def _note_done(self, opened: socket.socket) -> None:
         self._task_by_busy.pop(opened, None)
         if not self._task_by_busy:
-            self.all_answered.set()
+            self._all_answered.set()
 
 
 class _Caller:
@@ -249,6 +266,8 @@
         self._socket = opened
         self._callbacks = callbacks
         self._parser = RequestParser(lambda: callbacks.limits().sizes)
+        # What is wrong with the bytes behind the last whole request.
+        self._malformed: RequestError | None = None
 
     def read_request(self, on_first_byte: Callable[[], None]) -> Request:
         """Return the next request; raises RequestError or CallerGone.
@@ -266,9 +285,11 @@
         allowed = limits.idle_time
         headers_by: timedelta | None = None
         while not self._parser.complete:
+            if self._malformed is not None:
+                raise self._malformed
             received = self._receive(allowed)
             on_first_byte()
-            self._parser.feed(received)
+            self._feed(received)
             now = self._callbacks.elapsed()
             headers_by = headers_by or now + limits.header_time
             allowed = headers_by - now
@@ -282,16 +303,17 @@
         """Answer a request; tell whether the connection goes on."""
 
         def may_keep_connection() -> bool:
-            # An answer may begin before the process is told to stop.
+            # An answer may begin before the process is told to stop, and a
+            # further request may have been read with this one.
             return request.keeps_connection and (
-                not self._callbacks.is_stopping()
+                bool(self._parser.complete) or not self._callbacks.is_stopping()
             )
 
         reply = Reply(self._socket, may_keep_connection)
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
         watch = _watch_for_close(self._socket, getcurrent())
         try:
-            self._callbacks.handle(request, reply)
+            self._handle(request, reply)
         finally:
             watch.stop()
             watch.close()
@@ -301,6 +323,17 @@
             self._linger()
         return keeps
 
+    def _handle(self, request: Request, reply: Reply) -> None:
+        """Have a request handled; raises RequestError on a defect."""
+        try:
+            self._callbacks.handle(request, reply)
+        except (CallerGone, ListenerStopping):
+            raise
+        except Exception as error:
+            self._callbacks.report(error)
+            if not reply.is_started:
+                raise RequestError(BAD_GATEWAY, 'internal error') from error
+
     def refuse(self, error: RequestError) -> None:
         """Answer bytes that are refused, and close without a reset."""
         if error.status is None:
@@ -313,6 +346,13 @@
             return
         self._linger()
 
+    def _feed(self, received: bytes) -> None:
+        try:
+            self._parser.feed(received)
+        except RequestError as error:
+            # Whole requests in front of the bad bytes are answered first.
+            self._malformed = error
+
     def _welcome_body(self) -> None:
         if self._parser.expects_continue:
             self._parser.expects_continue = False
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from verbenamux_contracts.clock import to_milliseconds
 from verbenamux_http.errors import (
@@ -57,6 +58,7 @@
 
 BAD_REQUEST = 400
 GATEWAY_TIMEOUT = 504
+STOPPING = 'the gateway is stopping'
 # When a model that is being loaded may be in place, where that is unknown.
 LOADING_TIME = timedelta(seconds=1)
 # How long a model that is not in place is waited for, as a part of the time
@@ -120,6 +122,7 @@
             arrived_at,
             settling.random,
         )
+        _check_stop(job, tools.stop)
         charge(job, settling.allowance)
     except RequestRefusedError as refused:
         refuse_early(reply, terms, refused, settling)
@@ -128,6 +131,16 @@
         _carry(job, tools)
 
 
+def _check_stop(job: Job, stop: StopPlan) -> None:
+    """Refuse a stream that the gateway might break off as it ends.
+
+    Raises RequestRefusedError.
+    """
+    is_stream = job.route.kind is RouteKind.STREAMING
+    if is_stream and not stop.may_take_stream(job.arrived_at):
+        raise RequestRefusedError(UNAVAILABLE, STOPPING, ELSEWHERE_TIME)
+
+
 @contextmanager
 def _in_demand(job: Job, demand: DemandMeter) -> Iterator[None]:
     model = job.terms.model
@@ -199,7 +212,7 @@
 
 def _may_send(job: Job, tools: RelayTools) -> bool:
     if not tools.stop.may_send(tools.now()):
-        job.steps.append('the gateway is stopping')
+        job.steps.append(STOPPING)
         return False
     if not job.sends or tools.budget_of(job.service.name).take():
         return True
@@ -210,13 +223,7 @@
 def _choose(job: Job, last: Outcome | None, tools: RelayTools) -> Choice:
     """Return the target to send to; waits while its model is loaded."""
     while job.time_left(tools.now()) > timedelta():
-        query = Query(
-            job.service,
-            job.terms,
-            len(job.request.body),
-            frozenset(job.excluded),
-        )
-        found = pick(query, tools.beliefs, tools.now())
+        found = pick(_query(job), tools.beliefs, tools.now())
         choice: Choice | None
         if isinstance(found, Option):
             choice = _weigh(job, found, tools)
@@ -227,6 +234,21 @@
     return Choice()
 
 
+def _query(job: Job, *besides: str) -> Query:
+    """Return what a job asks for, of targets that it has not tried."""
+    return Query(
+        job.service,
+        job.terms,
+        len(job.request.body),
+        frozenset(job.excluded.union(besides)),
+    )
+
+
+def _has_other(job: Job, target: Target, tools: RelayTools) -> bool:
+    query = _query(job, target.entry.target_id)
+    return isinstance(pick(query, tools.beliefs, tools.now()), Option)
+
+
 def _wait(
     job: Job,
     lack: Lack,
@@ -339,7 +361,14 @@
         total_tokens=job.terms.prompt_tokens + job.terms.output_tokens,
     )
     tools.loader.note_adapter_use(target, job.terms)
-    sent = Send(job, target, in_flight, _rank(job), tools.sending)
+    sent = Send(
+        job,
+        target,
+        in_flight,
+        _rank(job),
+        tools.sending,
+        has_other=partial(_has_other, job, target, tools),
+    )
     with (
         job.waiting_for(Stage.HEAD),
         _counted(target, in_flight, tools.sequence),
@@ -463,7 +492,7 @@
             predict(option) - job.route.objective,
         )
     if tools.stop.is_under_way:
-        return _explain_stop(job, 'the gateway is stopping')
+        return _explain_stop(job, STOPPING)
     wait = LOADING_TIME if job.terms.model else NEWS_TIME
     if job.expected_at is not None:
         wait = job.expected_at - now
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -19,6 +19,7 @@
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
 from verbenamux_relay.events import EventSplitter, StreamEvent
 from verbenamux_relay.job import Job, Stage
+from verbenamux_relay.picking import is_serving
 from verbenamux_relay.targets import InFlight, Target
 
 # How long a new connection may take before another target is tried.
@@ -30,6 +31,10 @@
 PATIENCE_LEAST = timedelta(milliseconds=700)
 # A stream that can be resumed elsewhere waits so long between two events.
 GAP_PATIENCE = timedelta(milliseconds=1200)
+# A refusal's rest is read for this long, and so many bytes of it: it comes
+# with its head, and to read on is worth no more than a new connection.
+REFUSAL_TIME = timedelta(milliseconds=100)
+REFUSAL_BYTES_MOST = 65536
 # What of the time left the target is not told, for the answer's way back.
 RETURN_TIME = timedelta(milliseconds=5)
 # Statuses that promise a caller that its request has not run.
@@ -95,13 +100,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """A job on its way to one target; `urgency` is its rank there."""
+    """A job on its way to one target; `urgency` is its rank there.
+
+    `has_other` tells whether another target could take the job over now.
+    """
 
     job: Job
     target: Target
     in_flight: InFlight
     urgency: int | None
     tools: SendTools
+    has_other: Callable[[], bool]
 
     def time_left(self) -> timedelta:
         """Return the time until the job's deadline."""
@@ -129,10 +138,13 @@
             arrived=False,
             is_unreachable=True,
         )
+    if not is_serving(sent.target, sent.tools.clock.elapsed()):
+        # It was chosen a while ago: connecting takes time, loading more.
+        connection.close()
+        return Outcome(Ending.NOT_RUN, 'the target leaves', arrived=False)
     try:
-        exchange = connection.start(_outgoing(sent))
+        exchange = connection.start(_outgoing(sent), sent.time_left())
     except ExchangeFailure as failure:
-        connection.close()
         return _classify(failure)
     try:
         return _follow(sent, exchange)
@@ -174,7 +186,7 @@
 
 def _follow(sent: Send, exchange: Exchange) -> Outcome:
     """Read the answer and decide what it is worth."""
-    head = _await(sent, lambda: exchange.read_head(_patience(sent)))
+    head = _await(sent, exchange.read_head, sent.tools.clock.elapsed())
     sent.note_heard()
     terms = sent.tools.dialect.read_answer(head)
     _note_load(sent, terms)
@@ -219,7 +231,10 @@
 ) -> Outcome:
     """Read the rest of a refusal, so that its connection can be kept."""
     try:
-        exchange.read_body(sent.time_left)
+        exchange.skip_body(
+            min(REFUSAL_TIME, sent.time_left()),
+            REFUSAL_BYTES_MOST,
+        )
     except ExchangeFailure as failure:
         sent.job.steps.append(f'refusal cut short: {failure.message}')
     own_id = sent.target.entry.target_id
@@ -259,15 +274,15 @@
     head: ResponseHead,
     splitter: EventSplitter,
 ) -> None:
-    def read() -> bytes | None:
-        return exchange.read_piece(_patience(sent))
-
-    piece = _await(sent, read)
+    since = sent.tools.clock.elapsed()
+    piece = _await(sent, exchange.read_piece, since)
     while piece is not None:
-        sent.note_heard()
         for event in splitter.feed(piece):
+            sent.note_heard()
             _pass_event(sent, head, event)
-        piece = _await(sent, read)
+            # Not before it is passed on: a slow caller is no silent target.
+            since = sent.tools.clock.elapsed()
+        piece = _await(sent, exchange.read_piece, since)
 
 
 def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
@@ -288,37 +303,56 @@
         reply.start(head.status, head.headers.end_to_end(kept))
 
 
-def _patience(sent: Send) -> timedelta:
-    """Return how long to wait for the next bytes."""
+def _patience(sent: Send, since: timedelta) -> timedelta:
+    """Return how long to wait on, after a wait for news since then."""
     route = sent.job.route
     left = sent.time_left()
     if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
         return left
-    if sent.in_flight.is_started:
-        return min(left, GAP_PATIENCE)
     patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
-    return min(left, patience)
+    if sent.in_flight.is_started:
+        patience = GAP_PATIENCE
+    return min(left, since + patience - sent.tools.clock.elapsed())
 
 
-def _await(sent: Send, read: Callable[[], Received]) -> Received:
+def _await(
+    sent: Send,
+    read: Callable[[timedelta], Received],
+    since: timedelta,
+) -> Received:
     """Read with patience, and on while the target answers others.
 
-    A busy target is late for all; to break off there and send anew would
-    only add to its work.
+    Bytes of a head or of an event that is not whole are no news; `since` is
+    when the last news was passed on, or the request was sent. A busy target
+    is late for all; to break off there and send anew would only add to its
+    work.
     """
+    wait = _patience(sent, since)
     while True:
         try:
-            return read()
+            return read(wait)
         except ExchangeFailure as failure:
-            if _is_final(sent, failure):
+            wait = _more_patience(sent)
+            if failure.fault is not Fault.TIMED_OUT or wait <= timedelta():
                 raise
 
 
-def _is_final(sent: Send, failure: ExchangeFailure) -> bool:
-    if failure.fault is not Fault.TIMED_OUT:
-        return True
-    is_alive = sent.target.heard_at > sent.in_flight.heard_at
-    return not is_alive or sent.time_left() <= timedelta()
+def _more_patience(sent: Send) -> timedelta:
+    """Return how long to wait on: until the target is suspect.
+
+    That it answered others once this request was sent is not enough: it may
+    have ended since. A stream that no other target can go on with has
+    nothing to lose by waiting.
+    """
+    if sent.in_flight.is_started and not sent.has_other():
+        return sent.time_left()
+    if sent.target.heard_at <= sent.in_flight.heard_at:
+        return timedelta()
+    now = sent.tools.clock.elapsed()
+    return min(
+        sent.target.suspect_at(sent.in_flight) - now,
+        sent.job.time_left(now),
+    )
 
 
 def _classify(failure: ExchangeFailure) -> Outcome:
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -81,7 +81,10 @@
 
 @dataclass(slots=True)
 class Target:
-    """One target with all that is believed of it."""
+    """One target with all that is believed of it.
+
+    Once removed, it still gets requests up to `serves_until` if it answers.
+    """
 
     entry: TargetEntry
     report: TargetReport | None = None
@@ -94,6 +97,7 @@
     absent_models: set[str] = field(default_factory=set)
     in_flight: dict[int, InFlight] = field(default_factory=dict)
     removed_at: timedelta | None = None
+    serves_until: timedelta = timedelta()
     replaced_until: timedelta = timedelta()
 
     @property
@@ -135,13 +139,15 @@
         )
 
     def is_suspect(self, now: timedelta) -> bool:
-        """Tell whether it has been silent on a request for too long."""
+        """Tell whether it has been silent on all for too long."""
         return any(
-            now - sent.heard_at > SUSPECT_AFTER
-            and self.heard_at <= sent.heard_at
-            for sent in self.in_flight.values()
+            self.suspect_at(sent) < now for sent in self.in_flight.values()
         )
 
+    def suspect_at(self, sent: InFlight) -> timedelta:
+        """Return when it is suspect unless it says anything before."""
+        return max(sent.heard_at, self.heard_at) + SUSPECT_AFTER
+
     def has_silent_keeper(self, now: timedelta) -> bool:
         """Tell whether its keeper reported before, and stopped."""
         report = self.report
@@ -228,11 +234,17 @@
             if target.entry.started_ms < newest.entry.started_ms:
                 target.note_replaced(now)
 
-    def mark_removed(self, target_id: str, now: timedelta) -> None:
+    def mark_removed(
+        self,
+        target_id: str,
+        now: timedelta,
+        serves_until: timedelta,
+    ) -> None:
         """Note that the registry lists a target no more."""
         target = self.by_id.get(target_id)
         if target is not None and target.removed_at is None:
             target.removed_at = now
+            target.serves_until = serves_until
 
     def forget(self, target_id: str) -> None:
         """Drop a target."""
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,14 +1,21 @@
 """Connections to targets that answer early, twice, half or not at all."""
 
+import contextlib
+import select
+import socket as threads
 from datetime import timedelta
+from threading import Thread
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import ManualClock, SystemClock
+from verbenamux_http import client
 from verbenamux_http.client import (
+    BodyRoom,
     ConnectionPool,
     Outgoing,
     call,
@@ -16,9 +23,13 @@
 )
 from verbenamux_http.errors import ExchangeFailure, Fault
 from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import RequestParser, SizeLimits
 
 SOON = timedelta(milliseconds=300)
 HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+ROOM = 4_000_000
+LONG_BODY = b'HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n'
 GET = Outgoing('GET', '/', Headers((('Host', 'h'),)))
 
 
@@ -42,6 +53,26 @@
                 return
 
 
+class EndlessTarget(Target):
+    """A server that sends a start, then a piece again and again."""
+
+    def __init__(self, start, piece, pause):
+        self.start = start
+        self.piece = piece
+        self.pause = pause
+        self.was_closed = Event()
+        super().__init__(start)
+
+    def serve(self, opened, _peer):
+        opened.recv(65536)
+        with contextlib.suppress(OSError):
+            opened.sendall(self.start)
+            while True:
+                gevent.sleep(self.pause)
+                opened.sendall(self.piece)
+        self.was_closed.set()
+
+
 @pytest.fixture
 def pool():
     return ConnectionPool(SystemClock().elapsed)
@@ -131,6 +162,249 @@
     assert not pool._idle_by_address.get(target.address)
 
 
+def test_a_wait_that_is_given_up_leaves_the_long_body_on_its_way(pool):
+    """The wait's timeout ended the sending too, and no answer could come.
+
+    A reader that waits on, as for a busy target, waited in vain.
+    """
+    body = b'x' * 8_000_000
+
+    def read_late(opened, _peer):
+        gevent.sleep(0.3)
+        received = 0
+        while received < len(body):
+            received += len(opened.recv(1_000_000)) or len(body)
+        opened.sendall(HELLO)
+
+    late = StreamServer(('127.0.0.1', 0), read_late)
+    late.start()
+    headers = Headers((('Host', 'h'), ('Content-Length', str(len(body)))))
+    exchange = pool.take(late.address, SOON).start(
+        Outgoing('POST', '/', headers, body),
+    )
+    with pytest.raises(ExchangeFailure):
+        exchange.read_head(timedelta(milliseconds=100))
+    assert exchange.read_head(timedelta(seconds=5)).status == 200
+
+
+@pytest.mark.parametrize(
+    ('start', 'trickle'),
+    [
+        (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (CHUNKED + b'5;a=', b'x'),
+    ],
+    ids=['head', 'interim', 'extension'],
+)
+def test_a_trickle_that_brings_nothing_does_not_renew_the_wait(
+    pool,
+    start,
+    trickle,
+):
+    target = EndlessTarget(start, trickle, 0.05)
+    with (
+        gevent.Timeout(2),
+        pytest.raises(ExchangeFailure) as raised,
+    ):
+        call(pool, target.address, GET, SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    assert target.was_closed.wait(1)
+
+
+def test_a_call_ends_although_its_body_goes_on(pool):
+    target = EndlessTarget(LONG_BODY, b'x', 0.05)
+    with (
+        gevent.Timeout(2),
+        pytest.raises(ExchangeFailure) as raised,
+    ):
+        call(pool, target.address, GET, SOON, body_time=2 * SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    assert target.was_closed.wait(1)
+
+
+def test_a_body_that_takes_longer_than_one_wait_is_read(pool):
+    """A page of the store on a slow link: no pause, but a long way."""
+    target = EndlessTarget(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n',
+        b'x',
+        0.05,
+    )
+    assert call(pool, target.address, GET, SOON)[1] == b'x' * 10
+
+
+class UnreadTarget:
+    """A target that accepts a connection and reads nothing by itself."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen()
+        self.address = self.listener.getsockname()
+
+    def accept(self):
+        self.opened, _ = self.listener.accept()
+        return self.opened
+
+    def sees_a_close(self):
+        """Tell whether a close or a reset is there, with nothing read."""
+        poller = select.poll()
+        poller.register(self.opened.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
+
+def post(size):
+    length = (('Host', 'h'), ('Content-Length', str(size)))
+    return Outgoing('POST', '/', Headers(length), b'x' * size)
+
+
+@pytest.mark.parametrize('size', [0, 8000, 200_000, 2_000_000, 8_000_000])
+def test_a_target_sees_a_close_before_it_read_the_request(pool, size):
+    """A run has to end soon after its caller left, whatever is on the way."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    exchange = connection.start(post(size))
+    gevent.sleep(0.05)
+    assert not target.sees_a_close()
+    exchange.close()
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
+def test_a_request_that_was_read_is_closed_without_a_reset(pool):
+    """A reset is sent once only: one that is lost tells nobody."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    opened = target.accept()
+    exchange = connection.start(post(4))
+    while opened.recv(65536)[-4:] != b'xxxx':
+        gevent.sleep(0)
+    exchange.close()
+    assert opened.recv(1) == b''
+
+
+def test_a_long_body_goes_on_after_a_wait_for_its_answer(pool):
+    """Patience with the answer is none with the body on its way."""
+    target = UnreadTarget()
+    size = 8_000_000
+    connection = pool.take(target.address, SOON)
+    opened = target.accept()
+    exchange = connection.start(post(size))
+    for _ in range(3):
+        with pytest.raises(ExchangeFailure):
+            exchange.read_head(timedelta(milliseconds=30))
+    parser = RequestParser(lambda: SizeLimits(4096, size))
+    with gevent.Timeout(5):
+        while not parser.complete:
+            parser.feed(opened.recv(65536))
+    assert len(parser.complete[0].body) == size
+    opened.sendall(HELLO)
+    assert exchange.read_head(SOON).status == 200
+
+
+def test_a_request_that_can_not_be_sent_ends_in_time(pool):
+    """Its head does not fit what the target takes."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    fields = (('Host', 'h'), ('Long', 'x' * 8_000_000))
+    with gevent.Timeout(2), pytest.raises(ExchangeFailure) as raised:
+        connection.start(Outgoing('GET', '/', Headers(fields)), SOON)
+    assert raised.value.fault is Fault.TIMED_OUT
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
+def test_a_send_that_is_given_up_is_closed(pool):
+    """The caller may leave while its request still goes out."""
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    target.accept()
+    fields = (('Host', 'h'), ('Long', 'x' * 8_000_000))
+    outgoing = Outgoing('GET', '/', Headers(fields))
+    starting = gevent.spawn(connection.start, outgoing)
+    gevent.sleep(0.05)
+    starting.kill()
+    gevent.sleep(0.05)
+    assert target.sees_a_close()
+
+
+def test_a_body_without_end_leaves_memory_to_others():
+    pool = ConnectionPool(SystemClock().elapsed, BodyRoom(ROOM))
+    target = EndlessTarget(LONG_BODY, b'x' * 65536, 0.001)
+    with gevent.Timeout(3), pytest.raises(ExchangeFailure) as raised:
+        call(pool, target.address, GET, SOON)
+    assert raised.value.fault is Fault.TOO_LARGE
+    assert target.was_closed.wait(1)
+
+
+def flood(listener):
+    """Send small chunks as fast as they are taken, from a thread."""
+    opened, _ = listener.accept()
+    with opened, contextlib.suppress(OSError):
+        opened.sendall(CHUNKED)
+        while True:
+            opened.sendall(b'a\r\n0123456789\r\n' * 10_000)
+
+
+def test_others_go_on_beside_a_peer_that_is_faster_than_the_reader(pool):
+    listener = threads.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    Thread(target=flood, args=(listener,), daemon=True).start()
+    connection = pool.take(listener.getsockname(), SOON)
+    exchange = connection.start(GET)
+    exchange.read_head(SOON)
+    turns = []
+
+    def work():
+        while True:
+            turns.append(True)
+            gevent.sleep(0)
+
+    other = gevent.spawn(work)
+    # About 100 receives; the peer has always sent more by then.
+    for _ in range(400_000):
+        exchange.read_piece(SOON)
+    other.kill()
+    exchange.close()
+    listener.close()
+    assert len(turns) > 20
+
+
+def test_bodies_share_room_but_for_a_small_part_of_each(monkeypatch):
+    """What one target sends without end fails no other's answer."""
+    monkeypatch.setattr(client, 'FREE_BODY_BYTES', 100)
+    room = BodyRoom(ROOM)
+    room.take(0, ROOM)
+    room.take(0, 100)
+    with pytest.raises(ExchangeFailure):
+        room.take(100, 1)
+    room.give_back(ROOM)
+    room.take(100, 1)
+
+
+def test_room_is_given_back_with_each_body():
+    room = BodyRoom(ROOM)
+    pool = ConnectionPool(SystemClock().elapsed, room)
+    target = Target(HELLO, HELLO[:-1], HELLO)
+    for answer in (b'hello', None, b'hello'):
+        if answer is None:
+            with pytest.raises(ExchangeFailure):
+                call(pool, target.address, GET, SOON)
+        else:
+            assert call(pool, target.address, GET, SOON)[1] == answer
+        assert not room.held
+
+
+def test_a_large_body_is_an_answer(pool):
+    """A plain service's body may be several times a caller's largest."""
+    body = b'x' * 16_000_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    target = Target(head + body)
+    assert call(pool, target.address, GET, SOON)[1] == body
+
+
 @pytest.mark.parametrize('text', ['', 'a', 'host:80', '1.2.3.4', '1.2.3:x'])
 def test_bad_addresses_are_refused(text):
     with pytest.raises((ValueError, OSError)):
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1,15 +1,18 @@
 """One request through a gateway to targets over real sockets on loopback."""
 
+import contextlib
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 from random import Random
 
 import gevent
 import pytest
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_http.client import ConnectionPool
+from verbenamux_http.client import BodyRoom, ConnectionPool
 from verbenamux_http.errors import CallerGone, ListenerStopping
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
@@ -33,7 +36,7 @@
 from verbenamux_relay.prompts import PromptMemory
 from verbenamux_relay.relaying import RelayTools, relay
 from verbenamux_relay.repeats import RepeatBudget
-from verbenamux_relay.sending import SendTools
+from verbenamux_relay.sending import GAP_PATIENCE, SendTools
 from verbenamux_relay.settling import Knowledge, SettleTools
 from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.targets import (
@@ -100,6 +103,26 @@
         return True
 
 
+class EndlessTarget(FakeTarget):
+    """A target that sends a start, then a piece until its caller closes."""
+
+    def __init__(self, start, piece, pause):
+        super().__init__()
+        self.start = start
+        self.piece = piece
+        self.pause = pause
+        self.was_closed = Event()
+
+    def answer(self, opened):
+        with contextlib.suppress(OSError):
+            opened.sendall(self.start)
+            while True:
+                gevent.sleep(self.pause)
+                opened.sendall(self.piece)
+        self.was_closed.set()
+        return False
+
+
 class FakeReply:
     """Collects what a caller would get."""
 
@@ -163,6 +186,7 @@
         self.service = Service('service', 100)
         self.allowance = Allowance(self.clock.elapsed)
         self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
+        self.sequence = count(1)
 
     def knowledge(self):
         catalog = Catalog(
@@ -180,7 +204,7 @@
     def tools(self):
         dialect = platform_dialect()
         clock = self.clock
-        pool = ConnectionPool(clock.elapsed)
+        pool = ConnectionPool(clock.elapsed, BodyRoom(4_000_000))
 
         def on_first_event(job, _target, sent):
             sent.is_started = True
@@ -209,9 +233,9 @@
             ),
             demand=demand,
             budget_of=lambda _service: self.budget,
-            sequence=count(1),
             open_jobs=OpenJobs(),
             stop=StopPlan(),
+            sequence=self.sequence,
         )
 
     def ask(self, headers=(), key='key', body=b'', tools=None):
@@ -366,6 +390,103 @@
     assert resumed.headers.get('Last-Event-Id') == '2'
 
 
+def test_a_silent_stream_goes_on_where_nothing_else_can_resume_it():
+    """It was cut after 1.2 s, while its only target was still at work.
+
+    A target's silence is no reason to end an answer sooner.
+    """
+
+    class PausingTarget(FakeTarget):
+        def answer(self, opened):
+            for piece in (STREAM_HEAD, event(1)):
+                opened.sendall(piece)
+            gevent.sleep(1.5)
+            opened.sendall(event(2) + b'0\r\n\r\n')
+            return True
+
+    world = World(PausingTarget(), kind=RouteKind.STREAMING, is_resumable=True)
+    world.route = replace(world.route, timeout=SECOND * 5)
+    reply = world.ask({'Deadline-Ms': '4500'})
+    assert reply.body.count(b'id: ') == 2
+    assert reply.is_complete
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        'Server-Load: \xb2,1,8',
+        'Keep-Alive: timeout=\xb2',
+        'Keep-Alive: timeout=99999999999999999',
+    ],
+)
+def test_an_odd_number_in_a_targets_headers_spoils_no_answer(field):
+    """It raised in the gateway, which answered 502 in the answer's place."""
+    line = f'{field}\r\nContent-Length'.encode('latin-1')
+    world = World(FakeTarget(DONE.replace(b'Content-Length', line)))
+    reply = world.ask()
+    assert (reply.status, reply.body) == (200, b'done')
+
+
+SILENT = [b'']
+STREAM = [STREAM_HEAD, event(1), event(2), b'0\r\n\r\n']
+FIRST_ONLY = [STREAM_HEAD, event(1)]
+# How long callers stay, and by when a silent target must be left: twice what
+# makes it suspect, and some for a busy processor.
+STAY = {'Deadline-Ms': '6000'}
+LEFT_BY = timedelta(seconds=2.5)
+
+
+def streams(*targets):
+    """Return a world of resumable streams that go to the first target."""
+    world = World(*targets, kind=RouteKind.STREAMING, is_resumable=True)
+    world.route = replace(world.route, timeout=SECOND * 6)
+    world.book.by_id['t1'].failure_rate = 0.5
+    return world
+
+
+def outcomes(world, callers):
+    """Return how callers that come 20 ms apart end, and how long it took."""
+
+    def ask():
+        started = world.clock.elapsed()
+        reply = world.ask(STAY)
+        return reply, world.clock.elapsed() - started
+
+    asking = []
+    for _ in range(callers):
+        asking.append(gevent.spawn(ask))
+        gevent.sleep(0.02)
+    gevent.joinall(asking, raise_error=True)
+    return [caller.value for caller in asking]
+
+
+@pytest.mark.parametrize('answer', [SILENT, FIRST_ONLY])
+def test_a_target_that_falls_silent_is_left_by_all_requests(answer):
+    """inc-ccbf: a target crashed, and its connections went silent.
+
+    It answered another request once these were sent, so that they waited on
+    until their callers left: 'heard since' was taken for 'alive'.
+    """
+    world = streams(
+        FakeTarget(answer, answer, answer, STREAM),
+        FakeTarget(*[STREAM] * 4),
+    )
+    ended = outcomes(world, 4)
+    assert [reply.is_complete for reply, _ in ended] == [True] * 4
+    assert len(world.targets['t1'].requests) == 3
+    assert max(took for _, took in ended) < LEFT_BY
+
+
+def test_a_busy_target_that_answers_others_is_waited_for():
+    """To break off at a target that is late for all only adds work."""
+    late = [b'', *[b''] * 100, *STREAM]
+    pieces = [STREAM_HEAD, *map(event, range(120)), b'0\r\n\r\n']
+    world = streams(FakeTarget(late, pieces), FakeTarget(STREAM, STREAM))
+    ended = outcomes(world, 2)
+    assert all(reply.is_complete for reply, _ in ended)
+    assert not world.targets['t1'].requests
+
+
 def test_a_stream_that_can_not_be_resumed_never_looks_complete():
     broken = [STREAM_HEAD, event(1), None]
     world = World(FakeTarget(broken), kind=RouteKind.STREAMING)
@@ -527,7 +648,7 @@
 def test_nothing_is_sent_late_in_a_stop():
     world = World(FakeTarget(DONE))
     tools = world.tools()
-    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND)
+    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND, SECOND)
     reply = world.ask(tools=tools)
     assert reply.status == 503
     assert not world.sent()
@@ -536,7 +657,201 @@
 def test_a_request_already_sent_goes_nowhere_else_late_in_a_stop():
     world = World(FakeTarget([b'HTTP']), FakeTarget(DONE))
     tools = world.tools()
-    tools.stop.begin(world.clock.elapsed(), SECOND * 0.2)
+    tools.stop.begin(world.clock.elapsed(), SECOND * 0.2, SECOND)
     reply = world.ask(tools=tools)
     assert reply.status == 502
     assert len(world.sent()) == 1
+
+
+@pytest.mark.parametrize(
+    ('kind', 'status'),
+    [
+        (RouteKind.STREAMING, 503),
+        (RouteKind.IDEMPOTENT, 200),
+        (RouteKind.NON_IDEMPOTENT, 200),
+    ],
+)
+def test_late_in_a_stop_only_what_ends_soon_is_taken(kind, status):
+    """The entry sends callers to a stopping gateway if it has no other."""
+    world = World(FakeTarget(DONE), kind=kind)
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 9, timedelta())
+    assert world.ask(tools=tools).status == status
+
+
+TRICKLE = 0.05
+FLOOD = 0.0005
+BLOCK = b'x' * 65536
+BIG_CHUNK = b'10000\r\n%b\r\n' % BLOCK
+CHUNKS_HEAD = DONE[: DONE.index(b'Content')] + (
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+PLAIN_HEAD = DONE[: DONE.index(b'Content')] + b'\r\n'
+LONG_HEAD = DONE.replace(b'4\r\n\r\ndone', b'9000000000\r\n\r\n')
+WHOLE_STREAM = [STREAM_HEAD, event(1), event(2), b'0\r\n\r\n']
+WITHOUT_END = {
+    'head': (b'HTTP/1.1 200 OK\r\nA: ', BLOCK, FLOOD),
+    'head-trickle': (b'HTTP/1.1 200 OK\r\nA: ', b'x', TRICKLE),
+    'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 500, FLOOD),
+    'interim-trickle': (b'', b'HTTP/1.1 100 Continue\r\n\r\n', TRICKLE),
+}
+BODIES_WITHOUT_END = {
+    'length': (LONG_HEAD, BLOCK, FLOOD),
+    'chunked': (CHUNKS_HEAD, BIG_CHUNK, FLOOD),
+    'until-close': (PLAIN_HEAD, BLOCK, FLOOD),
+}
+STREAMS_WITHOUT_END = {
+    'event': (STREAM_HEAD, BIG_CHUNK, FLOOD),
+    'event-trickle': (STREAM_HEAD, b'1\r\nx\r\n', TRICKLE),
+}
+
+
+def endless_first(spec, rest, **terms):
+    """Return a world whose first choice sends bytes without end."""
+    endless = EndlessTarget(*spec)
+    world = World(endless, FakeTarget(rest), **terms)
+    world.book.by_id['t1'].failure_rate = 0.5
+    return world, endless
+
+
+@pytest.mark.parametrize(
+    'spec',
+    (WITHOUT_END | BODIES_WITHOUT_END).values(),
+    ids=WITHOUT_END | BODIES_WITHOUT_END,
+)
+def test_an_answer_without_end_counts_as_failed(spec):
+    world, endless = endless_first(spec, DONE)
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert (reply.status, reply.body) == (200, b'done')
+    assert endless.was_closed.wait(1)
+    assert world.book.by_id['t0'].failure_rate > 0
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+@pytest.mark.parametrize(
+    'spec',
+    (WITHOUT_END | BODIES_WITHOUT_END).values(),
+    ids=WITHOUT_END | BODIES_WITHOUT_END,
+)
+def test_an_answer_without_end_is_an_answer_in_time(spec, kind):
+    """What may run once only is not repeated, nor held for longer."""
+    world, endless = endless_first(spec, DONE, kind=kind, attempts_most=1)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.status in {502, 504}
+    assert world.clock.elapsed() - started < SECOND * 1.1
+    assert endless.was_closed.wait(1)
+
+
+@pytest.mark.parametrize(
+    'spec',
+    STREAMS_WITHOUT_END.values(),
+    ids=STREAMS_WITHOUT_END,
+)
+def test_an_event_without_end_is_no_event(spec):
+    """The stream is had from another target, with its head."""
+    world, endless = endless_first(
+        spec,
+        WHOLE_STREAM,
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.is_complete
+    assert reply.body == b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+    assert endless.was_closed.wait(1)
+
+
+def test_a_stream_goes_on_elsewhere_when_its_next_event_has_no_end():
+    world, endless = endless_first(
+        (STREAM_HEAD + event(1), b'1\r\nx\r\n', TRICKLE),
+        [STREAM_HEAD, event(2), b'0\r\n\r\n'],
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    world.route = replace(world.route, timeout=SECOND * 4)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask({'Deadline-Ms': '3000'})
+    assert reply.is_complete
+    assert reply.body == b'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+    assert world.clock.elapsed() - started < SECOND * 2
+    assert endless.was_closed.wait(1)
+
+
+REFUSED_WITHOUT_END = FULL.replace(b': 0', b': 9000000000')
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        (REFUSED_WITHOUT_END, b'x', TRICKLE),
+        (REFUSED_WITHOUT_END, BLOCK, FLOOD),
+        (REFUSED_WITHOUT_END, b'x', SECOND.total_seconds()),
+    ],
+    ids=['trickle', 'flood', 'silence'],
+)
+def test_a_refusal_without_end_is_a_refusal(spec):
+    """It did not run there: another target gets it, with time to answer."""
+    world, endless = endless_first(spec, DONE, kind=RouteKind.NON_IDEMPOTENT)
+    started = world.clock.elapsed()
+    with gevent.Timeout(5):
+        reply = world.ask()
+    assert reply.status == 200
+    assert world.clock.elapsed() - started < SECOND * 0.5
+    assert endless.was_closed.wait(2)
+
+
+def test_a_slow_caller_is_no_silent_target():
+    """Events that came while one was passed on are not lost to patience."""
+    events = [STREAM_HEAD, event(1), event(2), event(3), b'0\r\n\r\n']
+    world = World(
+        FakeTarget(events),
+        FakeTarget(),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+    world.book.by_id['t1'].failure_rate = 0.5
+    world.route = replace(world.route, timeout=SECOND * 5)
+    pauses = [GAP_PATIENCE * 1.2, timedelta(), timedelta()]
+
+    def send_slowly(self, piece):
+        gevent.sleep(pauses.pop(0).total_seconds())
+        self.body += piece
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(FakeReply, 'send_piece', send_slowly)
+        reply = world.ask({'Deadline-Ms': '4000'})
+    assert reply.is_complete
+
+
+@pytest.mark.parametrize('is_draining', [True, False])
+def test_a_target_that_leaves_before_the_send_gets_nothing(
+    monkeypatch,
+    is_draining,
+):
+    """The word came while an adapter was loaded or a connection opened."""
+    world = World(
+        FakeTarget(DONE), FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT
+    )
+    take = ConnectionPool.take
+    left = []
+
+    def leave(pool, address, *limits):
+        for target in list(world.book.by_id.values()):
+            if target.entry.address == address and not left:
+                now = world.clock.elapsed()
+                left.append(target.entry.target_id)
+                entry = replace(target.entry, is_draining=is_draining)
+                world.book.put(entry, now)
+                if not is_draining:
+                    world.book.mark_removed(left[0], now, now)
+        return take(pool, address, *limits)
+
+    monkeypatch.setattr(ConnectionPool, 'take', leave)
+    assert world.ask().status == 200
+    assert not world.targets[left[0]].requests
+    assert len(world.sent()) == 1
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -18,7 +18,7 @@
 SLOT = 16
 GATEWAY, KEEPER = 'gateway-1', 'keeper-1'
 # Longer than a stop may take, so that no deadline ends a request first.
-TIMEOUT_MS = 20_000
+TIMEOUT_MS_BY_KIND = dict.fromkeys(('order', 'look', 'stream'), 20_000)
 GRACE_SECONDS = BOUNDS['grace_s']
 OK, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 200, 502, 503, 504
 
@@ -71,8 +71,8 @@
 @pytest.fixture
 def world(tmp_path):
     made = World(tmp_path, SLOT, Random(1))
-    made.timeout_ms = TIMEOUT_MS
-    made.objective_ms = TIMEOUT_MS
+    made.timeout_ms_by_kind = TIMEOUT_MS_BY_KIND
+    made.objective_ms_by_kind = TIMEOUT_MS_BY_KIND
     made.start((KEEPER, GATEWAY))
     yield made
     made.stop()
@@ -177,3 +177,19 @@
     caller.read()
     assert caller.status == OK
     assert caller.body == b'answer to a'
+
+
+def test_callers_are_served_while_the_entry_may_have_no_other_gateway(world):
+    """All gateways of a site were stopping, and nobody took a caller."""
+    for name in ('plain-1', 'plain-2', 'plain-3'):
+        world.targets[name].slow = 5.0
+    first = Caller(world, 'a').ask('/order/')
+    gevent.sleep(0.3)
+    for name in ('plain-1', 'plain-2', 'plain-3'):
+        world.targets[name].slow = 0.0
+    world.programs[GATEWAY].terminate()
+    gevent.sleep(3)
+    assert Caller(world, 'b').ask('/look/').read().status == OK
+    late = Caller(world, 'c').ask('/model/', Model='m1').read()
+    assert late.is_refused_as_not_run
+    assert first.read().status == OK
