Nothing that fails in a stop's own task ends the process on open requests

close_idle raised when a caller reset its connection between the look and the shutdown, and telling the usage could raise too: either ended the main task, and with it the process and all open requests. The test of the reset failed before.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -186,7 +186,9 @@
         for opened, task in tuple(self._task_by_idle.items()):
             if _peek(opened) is None:
                 self._closed.add(opened)
-                opened.shutdown(socket.SHUT_RDWR)
+                # A caller that is gone has closed it already.
+                with suppress(OSError):
+                    opened.shutdown(socket.SHUT_RDWR)
             else:
                 self._note_busy(opened, task)
 
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -163,7 +163,6 @@
         """
         self.stop.begin(self._clock.elapsed(), allowed, streams_for)
         self.loader.note_change()
-        self.tell_usage()
 
     def put_target(
         self,
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -313,3 +313,27 @@
     caller.sendall(GET)
     assert read_all(caller).startswith(b'HTTP/1.1 502')
     assert reported == [edge.defect]
+
+
+class GoneCaller:
+    """An idle connection that its caller resets right now."""
+
+    @property
+    def _sock(self):
+        return self
+
+    def recv(self, _most, _flags):
+        raise BlockingIOError
+
+    def shutdown(self, _how):
+        raise OSError('not connected')
+
+
+def test_a_caller_that_resets_an_idle_connection_does_not_end_the_stop(edge):
+    """An error in the stop's own task ended the process on open requests."""
+    caller = edge.connect()
+    gevent.sleep(0.02)
+    gone = {GoneCaller(): None}
+    edge.listener._task_by_idle = gone | edge.listener._task_by_idle
+    edge.listener.close_idle()
+    assert read_all(caller) == b''
