--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -25,6 +25,8 @@
 LINGER = timedelta(milliseconds=500)
 # How long a caller may take no bytes at all before it counts as gone.
 WRITE_STALL_MOST = timedelta(seconds=5)
+# So often are the last open requests interrupted as the process ends.
+INTERRUPTS = 5
 REQUEST_TIMEOUT = 408
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -63,12 +65,17 @@
         self,
         opened: socket.socket,
         may_keep_connection: Callable[[], bool],
+        on_whole: Callable[[], None],
     ) -> None:
-        """Prepare an answer; nothing is written yet."""
+        """Prepare an answer; nothing is written yet.
+
+        `on_whole` is called before a whole answer is written.
+        """
         self.is_started = False
         self.is_complete = False
         self._socket = opened
         self._may_keep_connection = may_keep_connection
+        self._on_whole = on_whole
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
@@ -76,6 +83,7 @@
         A `Content-Length` among the headers is replaced by the true one.
         """
         framed = headers.replaced((('Content-Length', str(len(body))),))
+        self._on_whole()
         self._write(self._encode_head(status, framed) + body)
         self.is_complete = True
 
@@ -142,8 +150,8 @@
         self._all_answered = Event()
         self._all_answered.set()
         self._callbacks = callbacks
-        self._task_by_idle: dict[socket.socket, Any] = {}
-        self._task_by_busy: dict[socket.socket, Any] = {}
+        self._idle_by_socket: dict[socket.socket, _Caller] = {}
+        self._busy_by_socket: dict[socket.socket, _Caller] = {}
         self._closed: set[socket.socket] = set()
         self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         self._server.start()
@@ -151,7 +159,7 @@
     @property
     def active(self) -> int:
         """Return how many requests are arriving or being answered."""
-        return len(self._task_by_busy)
+        return len(self._busy_by_socket)
 
     def stop_accepting(self) -> None:
         """Take the connections that were established, then no more."""
@@ -183,14 +191,14 @@
 
         One whose request has arrived, but was not read yet, is not idle.
         """
-        for opened, task in tuple(self._task_by_idle.items()):
+        for opened, caller in tuple(self._idle_by_socket.items()):
             if _peek(opened) is None:
                 self._closed.add(opened)
                 # A caller that is gone has closed it already.
                 with suppress(OSError):
                     opened.shutdown(socket.SHUT_RDWR)
             else:
-                self._note_busy(opened, task)
+                self._note_busy(opened, caller)
 
     def finish(self, open_most: timedelta, answers_most: timedelta) -> None:
         """Close idle connections, and wait until no request is open.
@@ -199,17 +207,24 @@
         callers have `answers_most`.
         """
         self.close_idle()
-        if not self.wait_answered(open_most):
+        if self.wait_answered(open_most):
+            return
+        for _ in range(INTERRUPTS):
+            # Behind an interrupted request a further one may begin.
             self.interrupt()
-            self.wait_answered(answers_most)
+            if self.wait_answered(answers_most / INTERRUPTS):
+                return
 
     def interrupt(self) -> None:
         """Raise ListenerStopping in the task of each open request.
 
-        A request that is still arriving is refused as not run.
+        A request that is still arriving is refused as not run; one whose
+        whole answer is on its way is left alone.
         """
-        for task in tuple(self._task_by_busy.values()):
-            _throw_soon(task, ListenerStopping('the gateway is stopping'))
+        for caller in tuple(self._busy_by_socket.values()):
+            if not caller.is_finishing:
+                stopping = ListenerStopping('the gateway is stopping')
+                _throw_soon(caller.task, stopping)
 
     def _serve(self, opened: socket.socket, _peer: Any) -> None:
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -219,7 +234,7 @@
         except (CallerGone, ListenerStopping):
             opened.close()
         finally:
-            self._task_by_idle.pop(opened, None)
+            self._idle_by_socket.pop(opened, None)
             self._closed.discard(opened)
             self._note_done(opened)
             opened.close()
@@ -236,28 +251,31 @@
 
     def _answer_all(self, caller: '_Caller', opened: socket.socket) -> None:
         keeps = True
-        task = getcurrent()
-        note_busy = partial(self._note_first_byte, opened, task)
+        note_busy = partial(self._note_first_byte, opened, caller)
         while keeps:
-            self._task_by_idle[opened] = task
+            self._idle_by_socket[opened] = caller
             request = caller.read_request(note_busy)
             keeps = caller.answer(request)
             self._note_done(opened)
 
-    def _note_first_byte(self, opened: socket.socket, task: Any) -> None:
+    def _note_first_byte(
+        self,
+        opened: socket.socket,
+        caller: '_Caller',
+    ) -> None:
         if opened in self._closed:
             # What crossed the close on its way must not be handled.
             raise CallerGone('closed while idle')
-        self._note_busy(opened, task)
+        self._note_busy(opened, caller)
 
-    def _note_busy(self, opened: socket.socket, task: Any) -> None:
-        self._task_by_idle.pop(opened, None)
-        self._task_by_busy[opened] = task
+    def _note_busy(self, opened: socket.socket, caller: '_Caller') -> None:
+        self._idle_by_socket.pop(opened, None)
+        self._busy_by_socket[opened] = caller
         self._all_answered.clear()
 
     def _note_done(self, opened: socket.socket) -> None:
-        self._task_by_busy.pop(opened, None)
-        if not self._task_by_busy:
+        self._busy_by_socket.pop(opened, None)
+        if not self._busy_by_socket:
             self._all_answered.set()
 
 
@@ -265,6 +283,8 @@
     """One caller's connection."""
 
     def __init__(self, opened: socket.socket, callbacks: Callbacks) -> None:
+        self.task = getcurrent()
+        self.is_finishing = False
         self._socket = opened
         self._callbacks = callbacks
         self._parser = RequestParser(lambda: callbacks.limits().sizes)
@@ -311,7 +331,7 @@
                 bool(self._parser.complete) or not self._callbacks.is_stopping()
             )
 
-        reply = Reply(self._socket, may_keep_connection)
+        reply = Reply(self._socket, may_keep_connection, self._note_finishing)
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
         watch = _watch_for_close(self._socket, getcurrent())
         try:
@@ -320,11 +340,15 @@
             watch.stop()
             watch.close()
         keeps = reply.is_complete and may_keep_connection()
+        self.is_finishing = not keeps
         if reply.is_complete and request.keeps_connection and not keeps:
             # Bytes left unread would reset the connection, and the answer.
             self._linger()
         return keeps
 
+    def _note_finishing(self) -> None:
+        self.is_finishing = True
+
     def _handle(self, request: Request, reply: Reply) -> None:
         """Have a request handled; raises RequestError on a defect."""
         try:
@@ -341,7 +365,7 @@
         if error.status is None:
             return
         headers, body = self._callbacks.refuse(error)
-        reply = Reply(self._socket, _never)
+        reply = Reply(self._socket, _never, self._note_finishing)
         try:
             reply.send(error.status, headers, body)
         except CallerGone:
--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -66,16 +66,14 @@
         """Return when a model should be in place, if it is being loaded."""
         return self._expected_by_model.get(model)
 
-    def await_model(
-        self,
-        service: Service,
-        model: str,
-        timeout: timedelta,
-    ) -> None:
-        """Ask for a model if nobody does, and wait for news of holdings."""
+    def ask(self, service: Service, model: str) -> None:
+        """Have a model loaded somewhere, if nobody asks for it yet."""
         if model not in self._asking:
             self._asking.add(model)
             gevent.spawn(self._load_somewhere, service, model)
+
+    def await_change(self, timeout: timedelta) -> None:
+        """Wait for news of what targets hold."""
         self._changed.wait(timeout.total_seconds())
 
     def load_adapter(
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -169,7 +169,10 @@
 
 def _explain_stop(job: Job, cause: str) -> RequestRefusedError:
     """Word the end of an open request; what was sent may have run."""
-    if job.runs or job.stage is Stage.HEAD:
+    if job.stage is Stage.HEAD:
+        job.sends += 1
+        job.runs += 1
+    if job.runs:
         return RequestRefusedError(BAD_GATEWAY, cause)
     return RequestRefusedError(UNAVAILABLE, cause, ELSEWHERE_TIME)
 
@@ -223,6 +226,8 @@
 def _choose(job: Job, last: Outcome | None, tools: RelayTools) -> Choice:
     """Return the target to send to; waits while its model is loaded."""
     while job.time_left(tools.now()) > timedelta():
+        if not tools.stop.may_send(tools.now()):
+            break
         found = pick(_query(job), tools.beliefs, tools.now())
         choice: Choice | None
         if isinstance(found, Option):
@@ -245,8 +250,9 @@
 
 
 def _has_other(job: Job, target: Target, tools: RelayTools) -> bool:
+    """Tell whether another target has the model, or could load it."""
     query = _query(job, target.entry.target_id)
-    return isinstance(pick(query, tools.beliefs, tools.now()), Option)
+    return pick(query, tools.beliefs, tools.now()) is not Lack.TARGET
 
 
 def _wait(
@@ -323,16 +329,20 @@
     allowed = tools.stop.limited(
         job.arrived_at + _stay(job) * MODEL_WAIT_PART,
     )
+    tools.loader.ask(job.service, model)
+    if tools.stop.is_under_way:
+        # The task that asks has to begin before a load can be expected.
+        tools.sending.clock.sleep(timedelta())
     expected = tools.loader.expected_at(model)
     if expected is None and tools.stop.is_under_way:
-        job.steps.append('the model is not being loaded as the gateway stops')
+        job.cause = STOPPING
         return False
     if max(now, expected or now) >= allowed:
         job.steps.append('the model is not in place in time')
         job.expected_at = expected
         return False
     with job.waiting_for(Stage.MODEL):
-        tools.loader.await_model(job.service, model, allowed - now)
+        tools.loader.await_change(allowed - now)
     return True
 
 
@@ -485,14 +495,14 @@
         is_late = job.time_left(now) <= timedelta()
         status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
         return RequestRefusedError(status, job.cause or 'no usable answer')
+    if job.cause == STOPPING or not tools.stop.may_send(now):
+        return _explain_stop(job, STOPPING)
     if option is not None:
         return RequestRefusedError(
             UNAVAILABLE,
             'all targets are behind',
             predict(option) - job.route.objective,
         )
-    if tools.stop.is_under_way:
-        return _explain_stop(job, STOPPING)
     wait = LOADING_TIME if job.terms.model else NEWS_TIME
     if job.expected_at is not None:
         wait = job.expected_at - now
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -345,7 +345,8 @@
     nothing to lose by waiting.
     """
     if sent.in_flight.is_started and not sent.has_other():
-        return sent.time_left()
+        # Another one may come meanwhile.
+        return min(sent.time_left(), GAP_PATIENCE)
     if sent.target.heard_at <= sent.in_flight.heard_at:
         return timedelta()
     now = sent.tools.clock.elapsed()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -10,7 +10,7 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_http import server
-from verbenamux_http.errors import CallerGone
+from verbenamux_http.errors import CallerGone, ListenerStopping
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import SizeLimits
 from verbenamux_http.server import Callbacks, EdgeLimits, Listener
@@ -334,6 +334,57 @@
     caller = edge.connect()
     gevent.sleep(0.02)
     gone = {GoneCaller(): None}
-    edge.listener._task_by_idle = gone | edge.listener._task_by_idle
+    edge.listener._idle_by_socket = gone | edge.listener._idle_by_socket
     edge.listener.close_idle()
     assert read_all(caller) == b''
+
+
+def test_an_interrupt_leaves_a_whole_answer_on_its_way(edge):
+    """A caller that took bytes all along was cut with its answer begun."""
+    edge.body = b'x' * 8_000_000
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.05)
+    edge.is_stopping = True
+    stop = gevent.spawn(edge.listener.finish, SECOND * 0.01, SECOND * 5)
+    assert len(read_all(caller)) > len(edge.body)
+    stop.get(timeout=5)
+
+
+def test_an_interrupt_leaves_a_connection_that_is_lingered_on(edge):
+    edge.delay = 0.05
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.02)
+    edge.is_stopping = True
+    gevent.sleep(0.1)
+    edge.listener.interrupt()
+    gevent.sleep(0.02)
+    caller.sendall(GET[:5])
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+
+
+def test_a_request_that_begins_behind_an_interrupted_one_ends_too(edge):
+    """One interrupt left the second of two open as the process ended."""
+
+    def wait(_request, reply):
+        try:
+            gevent.sleep(9)
+        except ListenerStopping:
+            reply.send(502, Headers(), b'')
+
+    edge.handle = wait
+    caller = edge.connect()
+    caller.sendall(GET + GET)
+    gevent.sleep(0.05)
+    edge.is_stopping = True
+
+    def read_and_close():
+        received = read_all(caller)
+        caller.close()
+        return received
+
+    reading = gevent.spawn(read_and_close)
+    edge.listener.finish(timedelta(), SECOND * 0.5)
+    assert not edge.listener.active
+    assert reading.get(timeout=1).count(b'HTTP/1.1 502') == 2
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -855,3 +855,102 @@
     assert world.ask().status == 200
     assert not world.targets[left[0]].requests
     assert len(world.sent()) == 1
+
+
+def test_a_stop_refunds_nothing_of_what_was_sent():
+    """A request that may have run counts against its workspace's limit."""
+    world = silent(RouteKind.NON_IDEMPOTENT)
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 10, 10)
+    assert interrupted(world).status == 502
+    assert world.allowance.spent_by_workspace['w'] == 1
+    assert world.lines[-1][1]['runs'] == 1
+
+
+def test_a_stop_is_named_where_it_is_the_cause():
+    world = World(FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND, SECOND)
+    assert b'stopping' in world.ask(tools=tools).body
+
+
+def test_full_targets_are_named_though_the_gateway_stops():
+    world = World(FakeTarget(FULL))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 9, SECOND)
+    assert b'refused with 503' in world.ask(tools=tools).body
+
+
+class CountingLink(StuckLink):
+    """A link to a keeper that gives no answer, and what it was asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    def ask(self, _ask_id, message, _timeout):
+        self.asked.append(message)
+        super().ask(_ask_id, message, _timeout)
+
+
+def ask_in_stop(stopped_for, model):
+    """Ask for a model so long behind SIGTERM; return reply and keeper's link.
+
+    The only target holds the model without adapters, or no model.
+    """
+    world = World(FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    world.book.by_id['t0'].report = TargetReport(
+        't0',
+        world.clock.elapsed(),
+        models=frozenset('m' if '/' in model else ''),
+    )
+    tools = world.tools()
+    link = CountingLink()
+    tools.loader.link_of = lambda _target: link
+    began_at = world.clock.elapsed() - stopped_for
+    tools.stop.begin(began_at, SECOND * 8, SECOND * 8)
+    reply = world.ask({'Model': model}, tools=tools)
+    gevent.sleep(0.01)
+    return reply, link
+
+
+def test_a_model_is_asked_for_though_the_gateway_stops():
+    """All gateways of a site were stopping, and none had models loaded."""
+    reply, link = ask_in_stop(timedelta(), 'm')
+    assert reply.status == 503
+    assert len(link.asked) == 1
+
+
+def test_no_adapter_is_loaded_for_what_will_not_be_sent():
+    reply, link = ask_in_stop(SECOND * 5, 'm/a1')
+    assert reply.status == 503
+    assert not link.asked
+
+
+def test_a_silent_stream_is_resumed_once_its_model_is_elsewhere():
+    """A crashed target's stream waited for its deadline instead."""
+    world = streams(FakeTarget(FIRST_ONLY), FakeTarget(STREAM))
+    world.service = Service('service', 1, ENGINE)
+
+    def report(target_id, *models):
+        now = world.clock.elapsed()
+        world.book.by_id[target_id].report = TargetReport(
+            target_id,
+            now,
+            models=frozenset(models),
+        )
+
+    def report_on():
+        while True:
+            for target_id, target in world.book.by_id.items():
+                report(target_id, *target.report.models)
+            gevent.sleep(0.1)
+
+    report('t0', 'm')
+    report('t1')
+    tools = world.tools()
+    reporting = gevent.spawn(report_on)
+    gevent.spawn_later(1.6, report, 't1', 'm')
+    gevent.spawn_later(1.61, tools.loader.note_change)
+    reply = world.ask({'Model': 'm'} | STAY, tools=tools)
+    reporting.kill()
+    assert reply.is_complete
