--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -11,6 +11,7 @@
 
 from soak.targets import event_bytes
 from soak.world import BOUNDS, CALLERS_PORT, World
+from soak.world import TIMEOUT_MS_BY_KIND as TIMEOUTS
 from verbenamux_http.parsing import ResponseParser
 
 pytestmark = pytest.mark.processes
@@ -18,7 +19,7 @@
 SLOT = 16
 GATEWAY, KEEPER = 'gateway-1', 'keeper-1'
 # Longer than a stop may take, so that no deadline ends a request first.
-TIMEOUT_MS_BY_KIND = dict.fromkeys(('order', 'look', 'stream'), 20_000)
+TIMEOUT_MS_BY_KIND = dict.fromkeys(TIMEOUTS, 20_000)
 GRACE_SECONDS = BOUNDS['grace_s']
 OK, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 200, 502, 503, 504
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,12 +5,23 @@
 import gevent
 
 from soak.evidence import Attempt
-from soak.world import GATEWAYS, MODELS, PROXY_PORT, TIMEOUT_MS_BY_KIND
+from soak.world import (
+    GATEWAYS,
+    MODELS,
+    PROXY_PORT,
+    STREAMS,
+    TIMEOUT_MS_BY_KIND,
+)
 from verbenamux_http.client import ConnectionPool, Outgoing
 from verbenamux_http.errors import ExchangeFailure
 from verbenamux_http.headers import Headers
 
-PATHS = {'order': '/order/x', 'look': '/look/x', 'stream': '/model/x'}
+PATHS = {
+    'order': '/order/x',
+    'look': '/look/x',
+    'stream': '/model/x',
+    'patient': '/patient/x',
+}
 CALLERS = 8
 PAUSE_SECONDS = 0.18
 LEAVE_SHARE = 0.06
@@ -49,6 +60,8 @@
         kind = self.random.choice(('order', 'order', 'look', 'stream'))
         key = self.random.choice(tuple(self.world.all_keys))
         self.count += 1
+        if kind == 'stream' and self.count % 2:
+            kind = 'patient'
         attempt = Attempt(
             f'{number}-{self.count}',
             kind,
@@ -104,7 +117,7 @@
             ('Deadline-Ms', str(TIMEOUT_MS_BY_KIND[attempt.kind])),
             ('Content-Length', '4'),
         ]
-        if attempt.kind == 'stream':
+        if attempt.kind in STREAMS:
             model = self.random.choice(MODELS)
             adapter = self.random.choice(('', '', '/a1', '/a2'))
             fields.append(('Model', f'{model}{adapter}'))
--- a/tests/soak/checking.py
+++ b/tests/soak/checking.py
@@ -20,6 +20,7 @@
     BURST,
     KEEPERS,
     RATE,
+    STREAMS,
     TIMEOUT_MS_BY_KIND,
 )
 
@@ -137,7 +138,7 @@
         past = [
             moved for moved in evidence.moved if moved[0] <= attempt.sent_at
         ]
-        if not past or attempt.kind == 'stream':
+        if not past or attempt.kind in STREAMS:
             continue
         acked_at, service = past[-1]
         begin = acked_at - MEMORY_SECONDS
@@ -300,7 +301,7 @@
 
 
 def _body(attempt: Attempt) -> bytes:
-    if attempt.kind == 'stream':
+    if attempt.kind in STREAMS:
         return b''.join(
             event_bytes(attempt.request_id, number)
             for number in range(1, EVENTS + 1)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -47,10 +47,21 @@
     'ceiling_window_s': 5,
     'ceiling_overage': 1.1,
 }
-# What callers name in their requests. Streams may wait for a model for longer
-# than a gateway's stop takes.
-TIMEOUT_MS_BY_KIND = {'order': 4000, 'look': 4000, 'stream': 12_000}
-OBJECTIVE_MS_BY_KIND = {'order': 1000, 'look': 1000, 'stream': 4000}
+# What callers name in their requests. Patient streams may wait for a model for
+# longer than a gateway's stop takes.
+TIMEOUT_MS_BY_KIND = {
+    'order': 4000,
+    'look': 4000,
+    'stream': 4000,
+    'patient': 12_000,
+}
+OBJECTIVE_MS_BY_KIND = {
+    'order': 1000,
+    'look': 1000,
+    'stream': 1000,
+    'patient': 4000,
+}
+STREAMS = frozenset(('stream', 'patient'))
 RATE, BURST = 30.0, 60.0
 
 
@@ -218,6 +229,7 @@
             self.route('order', '/order/', 'non_idempotent'),
             self.route('look', '/look/', 'idempotent'),
             self.route('stream', '/model/', 'streaming'),
+            self.route('patient', '/patient/', 'streaming'),
         ]
         return {
             'version': self.version,
