--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -385,6 +385,22 @@
     assert len(starts) > 60 * rate / 3
 
 
+def test_keepers_that_restart_keep_the_pace_of_the_store():
+    """Hosts lost power, and their keepers forgot the loads just before it."""
+    clock = ManualClock()
+    window = timedelta(seconds=5)
+    rate, targets = 2.1, 9
+    starts = []
+    for _ in range(2):
+        paces = [StorePace(clock.elapsed, window, 1.1) for _ in range(targets)]
+        for pace in paces:
+            if pace.is_ready(rate, targets):
+                pace.note_start()
+                starts.append(clock.elapsed())
+        clock.advance(timedelta(seconds=2))
+    assert len(starts) <= rate * 5 * 1.1 + 3
+
+
 def test_adapters_that_waited_for_a_load_go_before_the_next_model():
     """An engine restarted: models load one by one while requests wait."""
     engine = FakeEngine(SystemClock())
