Start sooner: settings as JSON, no command line in the platform's programs

Change: verbenamux_runtime.program keeps the command line, tasks.py has what runs as long as its process.

Ruled out: compiling at each start; the build leaves compiled modules.

--- a/libs/agent/src/verbenamux_agent/running.py
+++ b/libs/agent/src/verbenamux_agent/running.py
@@ -7,7 +7,7 @@
 from verbenamux_agent.agent import Agent
 from verbenamux_contracts.log import Log
 from verbenamux_platform.store import open_store
-from verbenamux_runtime.program import every, keep_running, stop_on_signal
+from verbenamux_runtime.tasks import every, keep_running, stop_on_signal
 
 HOUSEKEEPING = timedelta(seconds=1)
 DRAIN_STEP = timedelta(milliseconds=50)
--- a/libs/gateway/src/verbenamux_gateway/running.py
+++ b/libs/gateway/src/verbenamux_gateway/running.py
@@ -12,7 +12,7 @@
 from verbenamux_gateway.server import make_application
 from verbenamux_gateway.settings import RatePolicy
 from verbenamux_gateway.shares import RENEWALS_PER_LEASE
-from verbenamux_runtime.program import every, keep_running, stop_on_signal
+from verbenamux_runtime.tasks import every, keep_running, stop_on_signal
 from verbenamux_runtime.webserver import serve
 
 HOSTS_INTERVAL = timedelta(seconds=1)
--- a/libs/runtime/src/verbenamux_runtime/program.py
+++ b/libs/runtime/src/verbenamux_runtime/program.py
@@ -1,27 +1,21 @@
-"""Starting and stopping a daemon: settings, signals, exit codes."""
+"""The command line of a daemon: settings, version, exit codes."""
 
-import signal
 from collections.abc import Callable
-from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, TypeVar
 
-import gevent
 import typer
-from gevent.event import Event
 from returns.pipeline import is_successful
 
-from verbenamux_runtime.logs import write_error
 from verbenamux_runtime.settings import (
+    EXIT_BAD_SETTINGS,
     Settings,
-    SettingsFailure,
     read_settings,
+    report_settings,
     settings_schema,
 )
 
-EXIT_BAD_SETTINGS = 2
 VERSION = '0.1.0'
-TASK_PAUSE_SECONDS = 0.5
 
 SettingsType = TypeVar('SettingsType', bound=Settings)
 
@@ -35,11 +29,6 @@
     return checked.unwrap()
 
 
-def report_settings(failure: SettingsFailure) -> None:
-    """Print the field's path and what was expected there."""
-    typer.echo(f'settings: {failure.path}: {failure.message}', err=True)
-
-
 def print_version(asked: bool) -> None:
     """Print the version and exit, when asked to."""
     if asked:
@@ -102,47 +91,3 @@
         serve(checked)
 
     return app
-
-
-def stop_on_signal() -> Event:
-    """Return an event that SIGTERM or SIGINT sets."""
-    stop = Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
-    return stop
-
-
-def every(
-    interval: timedelta,
-    step: Callable[[], None],
-    on_error: Callable[[Exception], None],
-) -> gevent.Greenlet:
-    """Run a step for ever with pauses; an error in one is reported."""
-    return gevent.spawn(_repeat, interval, step, on_error)
-
-
-def keep_running(task: Callable[[], object]) -> gevent.Greenlet:
-    """Run a task that never ends, and start it again if an error ends it."""
-    return gevent.spawn(_keep_running, task)
-
-
-def _keep_running(task: Callable[[], object]) -> None:
-    while True:
-        try:
-            task()
-        except Exception as error:
-            write_error(repr(task), error)
-        gevent.sleep(TASK_PAUSE_SECONDS)
-
-
-def _repeat(
-    interval: timedelta,
-    step: Callable[[], None],
-    on_error: Callable[[Exception], None],
-) -> None:
-    while True:
-        try:
-            step()
-        except Exception as error:
-            on_error(error)
-        gevent.sleep(interval.total_seconds())
--- a/libs/runtime/src/verbenamux_runtime/settings.py
+++ b/libs/runtime/src/verbenamux_runtime/settings.py
@@ -1,6 +1,7 @@
 """Reading and checking JSON settings files."""
 
 import re
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -19,12 +20,13 @@
     ),
 ]
 
-SettingsType = TypeVar('SettingsType', bound='Settings')
+SettingsType = TypeVar('SettingsType', bound=msgspec.Struct)
 DURATION_PATTERN = re.compile(r'^(\d+(?:\.\d+)?)(ms|s|min|h)$')
 FIELD_PATTERN = re.compile('(?:required|unknown) field `([^`]+)`')
 SIZE_PATTERN = re.compile(r'^(\d+)(B|KB|MB|GB)$')
 SECONDS_BY_UNIT = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
 BYTES_BY_UNIT = {'B': 1, 'KB': 1000, 'MB': 1000**2, 'GB': 1000**3}
+EXIT_BAD_SETTINGS = 2
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -50,6 +52,12 @@
     message: str
 
 
+def report_settings(failure: SettingsFailure) -> None:
+    """Print the field's path and what was expected there."""
+    line = f'settings: {failure.path}: {failure.message}\n'
+    sys.stderr.write(line)
+
+
 def parse_duration(text: object) -> Duration:
     """Return the duration in a text with a unit, or raise ValueError."""
     match = DURATION_PATTERN.match(text) if isinstance(text, str) else None
--- a/libs/standin/src/verbenamux_standin/cli.py
+++ b/libs/standin/src/verbenamux_standin/cli.py
@@ -10,8 +10,9 @@
 from geventhttpclient import HTTPClient
 
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_runtime.program import every, load_or_exit, stop_on_signal
+from verbenamux_runtime.program import load_or_exit
 from verbenamux_runtime.settings import Address, Duration, Settings
+from verbenamux_runtime.tasks import every, stop_on_signal
 from verbenamux_runtime.webserver import serve
 from verbenamux_standin.engine import EnginePace, Generator
 from verbenamux_standin.engine_routes import STORE_TIMEOUT, Engine
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -85,16 +85,16 @@
     'models': [{'name': 'm', 'version': 1, 'adapters': []}],
     'sequence': 4,
 }
-SETTINGS = """
-node_name: gateway-1
-ip: 127.0.0.1
-zone: here
-internal_ports: [7600, 7615]
-listen: {frontend: "127.0.0.1:8221", ready: "127.0.0.1:8224"}
-bounds: {revoke_ms: 5000, grace_s: 8, unknown_bound: 3}
-platform: {address: "127.0.0.1:8225", form: log}
-something_new: {deep: true}
-"""
+SETTINGS = """{
+  "node_name": "gateway-1",
+  "ip": "127.0.0.1",
+  "zone": "here",
+  "internal_ports": [7600, 7615],
+  "listen": {"frontend": "127.0.0.1:8221", "ready": "127.0.0.1:8224"},
+  "bounds": {"revoke_ms": 5000, "grace_s": 8, "unknown_bound": 3},
+  "platform": {"address": "127.0.0.1:8225", "form": "log"},
+  "something_new": {"deep": true}
+}"""
 
 
 def encode(value):
@@ -197,7 +197,7 @@
 
 
 def test_settings_are_translated_and_unknown_fields_ignored(tmp_path):
-    path = tmp_path / 'node.yaml'
+    path = tmp_path / 'settings.json'
     path.write_text(SETTINGS)
     settings = read_process_settings(path).unwrap()
     assert settings.callers == ('127.0.0.1', 8221)
@@ -208,16 +208,16 @@
 @pytest.mark.parametrize(
     ('old', 'new', 'path'),
     [
-        ('zone: here', 'zone: [1]', '$.zone'),
-        ('node_name: gateway-1', '', 'node_name'),
-        ('revoke_ms: 5000', 'revoke_ms: soon', '$.bounds.revoke_ms'),
+        ('"zone": "here"', '"zone": [1]', '$.zone'),
+        ('"node_name": "gateway-1",', '', 'node_name'),
+        ('"revoke_ms": 5000', '"revoke_ms": "soon"', '$.bounds.revoke_ms'),
         ('[7600, 7615]', '[7600]', 'internal_ports'),
         ('"127.0.0.1:8225"', '"there"', 'address'),
-        ('zone: here', '\tzone: {', '$'),
+        ('"zone": "here"', '"zone": {', '$'),
     ],
 )
 def test_a_wrong_setting_is_named(tmp_path, old, new, path):
-    written = tmp_path / 'node.yaml'
+    written = tmp_path / 'settings.json'
     written.write_text(SETTINGS.replace(old, new))
     failure = read_process_settings(written).failure()
     assert path in f'{failure.path} {failure.message}'
--- a/tests/runtime/test_program.py
+++ b/tests/runtime/test_tasks.py
@@ -1,15 +1,17 @@
 """Tasks that live as long as their process."""
 
+from datetime import timedelta
+
 import gevent
 
 from verbenamux_contracts.messages import Accepted, encode_message
 from verbenamux_harness.processes import free_addresses
-from verbenamux_runtime import program
+from verbenamux_runtime import tasks
 from verbenamux_runtime.peers import PeerLink, PeerServer
 
 
 def test_task_that_fails_is_started_again(monkeypatch: object) -> None:
-    monkeypatch.setattr(program, 'TASK_PAUSE_SECONDS', 0)
+    monkeypatch.setattr(tasks, 'TASK_PAUSE', timedelta())
     started = []
 
     def task() -> None:
@@ -18,7 +20,7 @@
             raise ValueError(len(started))
         gevent.sleep(60)
 
-    running = program.keep_running(task)
+    running = tasks.keep_running(task)
     for _ in range(20):
         gevent.sleep(0)
     running.kill()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -165,7 +165,7 @@
             }
         else:
             settings |= {'app': f'{host}:{APP_PORT}', 'service': 'engine'}
-        path = self.folder / f'{name}.yaml'
+        path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         role = name.split('-')[0]
         return Process(
