Listen for callers before the gateway's modules are imported

Cause: the address for callers was bound after all modules were imported.

Change: a first step that needs only the standard library reads the address and listens; callers wait in the socket's queue.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -1,5 +1,6 @@
 """A listener for callers: one task per connection."""
 
+import socket as native_socket
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -20,7 +21,6 @@
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 
 RECEIVE_BYTES = 65536
-BACKLOG = 1024
 # How long a caller may go on sending behind its last answer, before the reset.
 LINGER = timedelta(milliseconds=500)
 # How long a caller may take no bytes at all before it counts as gone.
@@ -143,17 +143,27 @@
 
 
 class Listener:
-    """Accepts callers on an address until it is stopped."""
+    """Accepts callers from its start until it is stopped."""
 
-    def __init__(self, address: tuple[str, int], callbacks: Callbacks) -> None:
-        """Bind and accept."""
+    def __init__(
+        self,
+        listening: native_socket.socket,
+        callbacks: Callbacks,
+    ) -> None:
+        """Take over a listening socket, whose callers wait for the start."""
         self._all_answered = Event()
         self._all_answered.set()
         self._callbacks = callbacks
         self._idle_by_socket: dict[socket.socket, _Caller] = {}
         self._busy_by_socket: dict[socket.socket, _Caller] = {}
         self._closed: set[socket.socket] = set()
-        self._server = StreamServer(address, self._serve, backlog=BACKLOG)
+        self._server = StreamServer(
+            socket.socket(fileno=listening.detach()),
+            self._serve,
+        )
+
+    def start(self) -> None:
+        """Accept callers."""
         self._server.start()
 
     @property
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -12,6 +12,7 @@
 from verbenamux_http import server
 from verbenamux_http.errors import CallerGone, ListenerStopping
 from verbenamux_http.headers import Headers
+from verbenamux_http.listening import listen
 from verbenamux_http.parsing import SizeLimits
 from verbenamux_http.server import Callbacks, EdgeLimits, Listener
 
@@ -36,7 +37,7 @@
         self.defect = None
         self.reported = []
         self.listener = Listener(
-            ('127.0.0.1', 0),
+            listen(('127.0.0.1', 0)),
             Callbacks(
                 handle=lambda request, reply: self.handle(request, reply),
                 refuse=lambda error: (Headers(), error.message.encode()),
@@ -47,6 +48,7 @@
             ),
         )
         self.address = self.listener._server.address
+        self.listener.start()
 
     def handle(self, request, reply):
         self.handled.append(request.target)
