Have calls to the store go on connections that worked lately again

Seen by reading: `call` took a time for the body in front of the idle limit when two branches met, and the store's client passed its idle limit by place.

What callers saw: nothing known. An answer's body had 2 s instead of 5 s.

Cause: both are durations, so types say nothing. Change: what follows the time-out of a call is passed by name only.

Ruled out: the other callers of `call` pass no more by place, or by name.

Evidence: test_a_call_goes_on_a_connection_that_worked_lately fails without the change and passes with it; tests/platform/test_store.py, test_leaving.py and tests/http/test_client.py pass.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -473,6 +473,7 @@
     address: Address,
     outgoing: Outgoing,
     timeout: timedelta,
+    *,
     body_time: timedelta = BODY_TIME,
     idle_most: timedelta | None = None,
 ) -> tuple[ResponseHead, bytes]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,12 @@
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_contracts.log import LogFault
 from verbenamux_platform.following import Listening, Source, follow
-from verbenamux_platform.store import keyed_record, open_store, split_keyed
+from verbenamux_platform.store import (
+    PROVEN_MOST,
+    keyed_record,
+    open_store,
+    split_keyed,
+)
 from verbenamux_relay.sharing import Patience, read_directly
 from verbenamux_runtime.webserver import serve
 from verbenamux_standin.log import log_route
@@ -148,3 +153,14 @@
     failure = store.read('topic', 0, timedelta(), WAIT).failure()
     assert failure.fault is LogFault.UNANSWERED
     assert store._pool.idle_count() == 0
+
+
+def test_a_call_goes_on_a_connection_that_worked_lately(store):
+    """The limit was taken for that of the answer's body, two times alike."""
+    store.read('topic', 0)
+    (idle,) = store._pool._idle_by_address[store._address]
+    idle.idle_most = HOUR
+    idle.idle_since -= PROVEN_MOST
+    store.read('topic', 0)
+    (newer,) = store._pool._idle_by_address[store._address]
+    assert newer is not idle
