Notice a caller's close behind bytes that it sent after its request

Cause: a readable connection with bytes on it ended the watch, as the loop would tell of it in each round. The close was then seen when the answer was written.

Change: such a connection is looked at every 100 ms, by what the kernel tells of the peer's close whatever lies unread (POLLRDHUP). The watch is a module of its own.

Evidence: test_a_caller_that_leaves_behind_unread_bytes_is_noticed, three cases, fails without the change and passes with it; tests/http passes.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from verbenamux_http.closing import CloseWatch, peek
 from verbenamux_http.errors import (
     CallerGone,
     ListenerStopping,
@@ -192,7 +193,7 @@
         One whose request has arrived, but was not read yet, is not idle.
         """
         for opened, caller in tuple(self._idle_by_socket.items()):
-            if _peek(opened) is None:
+            if peek(opened) is None:
                 self._closed.add(opened)
                 # A caller that is gone has closed it already.
                 with suppress(OSError):
@@ -333,12 +334,12 @@
 
         reply = Reply(self._socket, may_keep_connection, self._note_finishing)
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
-        watch = _watch_for_close(self._socket, getcurrent())
+        gone = CallerGone('closed while waiting')
+        watch = CloseWatch(self._socket, partial(_throw_soon, self.task, gone))
         try:
             self._handle(request, reply)
         finally:
             watch.stop()
-            watch.close()
         keeps = reply.is_complete and may_keep_connection()
         self.is_finishing = not keeps
         if reply.is_complete and request.keeps_connection and not keeps:
@@ -416,43 +417,6 @@
     return False
 
 
-def _peek(opened: socket.socket) -> bytes | None:
-    """Return what has arrived, None when nothing has.
-
-    No bytes mean that the connection is closed or broken.
-    """
-    try:
-        peeked: bytes = opened._sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b''
-    return peeked
-
-
-def _watch_for_close(
-    opened: socket.socket,
-    task: Any,
-) -> Any:
-    """Raise CallerGone in the task when its caller closes.
-
-    Bytes of a further request end the watch: the close is then seen when
-    the answer is written.
-    """
-    watcher = get_hub().loop.io(opened.fileno(), 1)
-
-    def on_readable() -> None:
-        peeked = _peek(opened)
-        if peeked is None:
-            return
-        watcher.stop()
-        if not peeked:
-            _throw_soon(task, CallerGone('closed while waiting'))
-
-    watcher.start(on_readable)
-    return watcher
-
-
 def _throw_soon(task: Any, error: Exception) -> None:
     get_hub().loop.run_callback(_throw_if_alive, task, error)
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -106,6 +106,20 @@
     assert edge.gone == 1
 
 
+@pytest.mark.parametrize('behind', [GET, b'\r\n', b'x' * 100])
+def test_a_caller_that_leaves_behind_unread_bytes_is_noticed(edge, behind):
+    """The watch ended with the first byte behind the request."""
+    edge.delay = 2
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.05)
+    caller.sendall(behind)
+    gevent.sleep(0.05)
+    caller.close()
+    gevent.sleep(0.25)
+    assert edge.gone == 1
+
+
 def test_slow_headers_are_refused_however_they_trickle(edge):
     caller = edge.connect()
     for _ in range(4):
