Send nothing for a caller whose close lies behind its request

Cause: a kept connection to a target takes a request without a wait, and the caller's close is heard of in the next round of the event loop only. A gateway that was held up sent on all that callers had left in its backlog, the ones that may run once only too; their callers retry elsewhere.

Change: the caller is looked at right before each send.

Ruled out: the waits in between (model, adapter, connection): the watch wakes them.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from verbenamux_http.closing import CloseWatch, peek
+from verbenamux_http.closing import CloseWatch, has_closed, peek
 from verbenamux_http.errors import (
     CallerGone,
     ListenerStopping,
@@ -78,6 +78,14 @@
         self._may_keep_connection = may_keep_connection
         self._on_whole = on_whole
 
+    def check_wanted(self) -> None:
+        """Raise CallerGone if the caller has closed, though unnoticed yet.
+
+        A request may have been read with its caller's close behind it.
+        """
+        if has_closed(self._socket):
+            raise CallerGone('closed before')
+
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -127,8 +127,9 @@
     """Send a job to a target and pass the answer on.
 
     Raises CallerGone; the target's connection is closed then, which tells
-    the target to stop.
+    the target to stop. Nothing is sent for a caller that has left.
     """
+    sent.job.reply.check_wanted()
     try:
         connection = _connect(sent)
     except ExchangeFailure as failure:
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -133,6 +133,9 @@
         self.headers = Headers()
         self.body = b''
 
+    def check_wanted(self):
+        pass
+
     def send(self, status, headers, body):
         self.start(status, headers)
         self.body = body
