Bound the wait for an adapter by the caller's deadline and the gateway's stop

Cause: the wait followed from the engine's order (1.5 times what is left of it and 400 ms) only. The first target is judged by the predicted wait; a further one, behind a refusal, isn't.

Change: the wait ends at the deadline, or when a stopping gateway sends no more. The keeper's load goes on for others, as before.

Evidence: test_an_adapter_is_not_waited_for_beyond_the_callers_time and _beyond_the_sends_of_a_stop fail without the change (1.90 s of 0.9 s, and of 0.4 s) and pass with it; tests/relay and tests/platform/test_relaying.py pass.

--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -82,10 +82,12 @@
         model: str,
         adapter: str,
         order_left: timedelta,
+        wait_most: timedelta,
     ) -> bool:
         """Have an adapter loaded at a target; tell whether it is.
 
-        `order_left` is how long its engine takes no order yet.
+        `order_left` is how long its engine takes no order yet. The load may
+        go on behind `wait_most`, for others.
         """
         link = self.link_of(target.entry.target_id)
         if link is None:
@@ -95,7 +97,7 @@
         reply = link.ask(
             ask_id,
             AdapterAsk(ask_id, model, adapter, to_milliseconds(patience)),
-            ADAPTER_MOST + patience,
+            max(min(ADAPTER_MOST + patience, wait_most), timedelta()),
         )
         in_place = isinstance(reply, LoadReply) and reply.in_place
         self.count('adapter_loads_total', outcome=_outcome(in_place))
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -305,12 +305,14 @@
     terms = job.terms
     model = terms.model or ''
     adapter = terms.adapter or ''
+    wait_until = tools.stop.limited(job.deadline)
     with job.waiting_for(Stage.ADAPTER):
         is_loaded = tools.loader.load_adapter(
             target,
             model,
             adapter,
             option.order_left,
+            wait_until - tools.now(),
         )
     if is_loaded:
         return True
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -929,6 +929,56 @@
     assert not link.asked
 
 
+class SilentLink:
+    """A link to a keeper that gives no answer within the time allowed."""
+
+    def ask(self, _ask_id, _message, timeout):
+        gevent.sleep(timeout.total_seconds())
+
+    def send(self, _message):
+        return True
+
+
+def ask_for_adapter(stop_time=None):
+    """Ask for an adapter whose one target left loads a model for a second.
+
+    The target that holds it is full. Return the reply and how long it took.
+    """
+    world = World(FakeTarget(FULL), FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    now = world.clock.elapsed()
+    held = TargetReport('t0', now, models=frozenset('m'))
+    loading = replace(
+        held,
+        target_id='t1',
+        pending=frozenset('m'),
+        is_ordering=True,
+        ordered_at=now,
+    )
+    world.book.by_id['t0'].report = replace(held, adapters=frozenset(('m/a1',)))
+    world.book.by_id['t1'].report = loading
+    tools = world.tools()
+    tools.loader.link_of = lambda _target: SilentLink()
+    if stop_time is not None:
+        tools.stop.begin(now, stop_time, SECOND)
+    reply = world.ask({'Model': 'm/a1'}, tools=tools)
+    return reply, world.clock.elapsed() - now
+
+
+def test_an_adapter_is_not_waited_for_beyond_the_callers_time():
+    """The wait knew the engine's order and not the caller's deadline."""
+    reply, took = ask_for_adapter()
+    assert reply.status == 503
+    assert timedelta(milliseconds=800) < took < timedelta(milliseconds=1100)
+
+
+def test_an_adapter_is_not_waited_for_beyond_the_sends_of_a_stop():
+    """The request was held until its interrupt, though it could not go on."""
+    reply, took = ask_for_adapter(stop_time=SECOND * 0.8)
+    assert reply.status == 503
+    assert took < timedelta(milliseconds=600)
+
+
 def test_a_silent_stream_is_resumed_once_its_model_is_elsewhere():
     """A crashed target's stream waited for its deadline instead."""
     world = streams(FakeTarget(FIRST_ONLY), FakeTarget(STREAM))
