Treat a request that began behind another as begun

What callers saw: of a request whose first bytes came in one read with the request before it: a stop closed its connection as idle while the rest was on its way; its headers had an idle connection's time; the word to send its body (100 Continue) came in front of the answer to the request before.

Cause: only bytes received for a request marked it as begun, and the word for a body was given to whatever the parser was in.

Change: both are looked at before each receive, once no whole request waits.

Evidence: test_a_stop_waits_for_a_request_that_began_behind_another, test_slow_headers_behind_another_request_are_refused and test_a_body_behind_another_request_is_welcomed fail without the change and pass with it; tests/http passes.

--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -312,24 +312,34 @@
             raise RequestError(UNAVAILABLE, str(stopping)) from stopping
 
     def _read_request(self, on_first_byte: Callable[[], None]) -> Request:
-        limits = self._callbacks.limits()
-        allowed = limits.idle_time
         headers_by: timedelta | None = None
         while not self._parser.complete:
             if self._malformed is not None:
                 raise self._malformed
-            received = self._receive(allowed)
+            if self._parser.is_inside:
+                # It may have begun in the bytes of the request before.
+                on_first_byte()
+                headers_by = headers_by or self._headers_by()
+            received = self._receive(self._time_for_more(headers_by))
             on_first_byte()
+            headers_by = headers_by or self._headers_by()
             self._feed(received)
-            now = self._callbacks.elapsed()
-            headers_by = headers_by or now + limits.header_time
-            allowed = headers_by - now
-            if self._parser.has_head and self._parser.is_inside:
-                allowed = limits.idle_time
-                self._welcome_body()
         on_first_byte()
         return self._parser.complete.popleft()
 
+    def _headers_by(self) -> timedelta:
+        header_time = self._callbacks.limits().header_time
+        return self._callbacks.elapsed() + header_time
+
+    def _time_for_more(self, headers_by: timedelta | None) -> timedelta:
+        """Return how long the next bytes may take; welcomes a body."""
+        is_body = self._parser.has_head and self._parser.is_inside
+        if is_body:
+            self._welcome_body()
+        if is_body or headers_by is None:
+            return self._callbacks.limits().idle_time
+        return headers_by - self._callbacks.elapsed()
+
     def answer(self, request: Request) -> bool:
         """Answer a request; tell whether the connection goes on."""
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -154,6 +154,47 @@
     assert edge.listener.wait_answered(SECOND)
 
 
+def begin_behind(edge, begun):
+    """Begin a request in the bytes of the one before; return its caller."""
+    caller = edge.connect()
+    caller.sendall(GET + begun)
+    assert caller.recv(4096).startswith(b'HTTP/1.1 200')
+    gevent.sleep(0.02)
+    return caller
+
+
+def test_a_stop_waits_for_a_request_that_began_behind_another(edge):
+    """Its connection was taken for an idle one and closed."""
+    caller = begin_behind(edge, GET[:-2])
+    edge.is_stopping = True
+    edge.listener.close_idle()
+    assert edge.listener.active
+    caller.sendall(GET[-2:])
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+
+
+def test_slow_headers_behind_another_request_are_refused(edge):
+    """They had the time of an idle connection."""
+    caller = begin_behind(edge, GET[:-2])
+    began_at = time.monotonic()
+    assert read_all(caller).startswith(b'HTTP/1.1 408')
+    took = timedelta(seconds=time.monotonic() - began_at)
+    assert took < (LIMITS.header_time + LIMITS.idle_time) / 2
+
+
+def test_a_body_behind_another_request_is_welcomed(edge):
+    """The word to go on came in front of the answer to the one before."""
+    head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n'
+    caller = edge.connect()
+    caller.sendall(GET + head + b'Expect: 100-continue\r\n\r\n')
+    gevent.sleep(0.05)
+    received = caller.recv(4096)
+    caller.sendall(b'x')
+    received += caller.recv(4096)
+    statuses = [part[1:4] for part in received.split(b'HTTP/1.1')[1:]]
+    assert statuses == [b'200', b'100', b'200']
+
+
 def test_a_connection_is_closed_behind_an_answer_begun_before_the_stop(edge):
     """A score's finding: it stayed open and took requests until the kill."""
     edge.delay = 0.1
