Send callers of HTTP/1.0 no chunks

Cause: the version of a request was not looked at.

Change: such a caller's pieces go bare and its connection ends behind the answer; one that broke off is reset, as a plain close would make it look whole.

--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -17,6 +17,7 @@
 TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 FIRST_FINAL_STATUS = 200
+CHUNKLESS_VERSION = '1.0'
 BODILESS_STATUSES = frozenset((204, 304))
 # The most bytes in a row that bring no byte of a body: heads, interim
 # answers, chunk sizes, trailers. Four times what a caller's head may have
@@ -26,7 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """One whole request of a caller."""
+    """One whole request of a caller.
+
+    A caller that takes no chunks learns the end of an answer in pieces from
+    the end of its connection.
+    """
 
     method: str
     target: str
@@ -34,6 +39,7 @@
     body: bytes
     is_chunked: bool
     keeps_connection: bool
+    takes_chunks: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +160,7 @@
     def on_message_complete(self) -> None:
         """Queue the request."""
         headers = Headers(tuple(self._head.fields))
+        takes_chunks = self._parser.get_http_version() != CHUNKLESS_VERSION
         self.complete.append(
             Request(
                 method=self._parser.get_method().decode('latin-1'),
@@ -161,7 +168,10 @@
                 headers=headers,
                 body=b''.join(self._body),
                 is_chunked=headers.get('transfer-encoding') is not None,
-                keeps_connection=self._parser.should_keep_alive(),
+                keeps_connection=(
+                    takes_chunks and self._parser.should_keep_alive()
+                ),
+                takes_chunks=takes_chunks,
             ),
         )
         self._body = []
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -1,5 +1,6 @@
 """A listener for callers: one task per connection."""
 
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -44,6 +45,8 @@
     503: 'Service Unavailable',
     504: 'Gateway Timeout',
 }
+# Has a close reset the connection.
+RESET = struct.pack('ii', 1, 0)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -67,16 +70,19 @@
         opened: socket.socket,
         may_keep_connection: Callable[[], bool],
         on_whole: Callable[[], None],
+        takes_chunks: bool = True,
     ) -> None:
         """Prepare an answer; nothing is written yet.
 
-        `on_whole` is called before a whole answer is written.
+        `on_whole` is called before a whole answer is written. Without chunks
+        the end of the connection is that of an answer in pieces.
         """
         self.is_started = False
         self.is_complete = False
         self._socket = opened
         self._may_keep_connection = may_keep_connection
         self._on_whole = on_whole
+        self._takes_chunks = takes_chunks
 
     def check_wanted(self) -> None:
         """Raise CallerGone if the caller has closed, though unnoticed yet.
@@ -98,20 +104,32 @@
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of an answer that comes in pieces."""
-        framed = headers.without(('Content-Length',)).replaced(
-            (('Transfer-Encoding', 'chunked'),),
-        )
+        framed = headers.without(('Content-Length', 'Transfer-Encoding'))
+        if self._takes_chunks:
+            framed = framed.replaced((('Transfer-Encoding', 'chunked'),))
         self._write(self._encode_head(status, framed))
 
     def send_piece(self, piece: bytes) -> None:
         """Write a piece of the body."""
-        self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        if self._takes_chunks:
+            piece = b'%x\r\n%b\r\n' % (len(piece), piece)
+        self._write(piece)
 
     def finish(self) -> None:
         """Write the end of an answer that came in pieces."""
-        self._write(b'0\r\n\r\n')
+        if self._takes_chunks:
+            self._write(b'0\r\n\r\n')
         self.is_complete = True
 
+    def end(self) -> None:
+        """Let a close show that an answer broke off, where nothing else does.
+
+        Only a reset tells a caller without chunks that pieces are missing.
+        """
+        is_broken_off = self.is_started and not self.is_complete
+        if is_broken_off and not self._takes_chunks:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self.is_started = True
         reason = REASON_BY_STATUS.get(status, 'Status')
@@ -350,7 +368,12 @@
                 bool(self._parser.complete) or not self._callbacks.is_stopping()
             )
 
-        reply = Reply(self._socket, may_keep_connection, self._note_finishing)
+        reply = Reply(
+            self._socket,
+            may_keep_connection,
+            self._note_finishing,
+            request.takes_chunks,
+        )
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
         gone = CallerGone('closed while waiting')
         watch = CloseWatch(self._socket, partial(_throw_soon, self.task, gone))
@@ -358,6 +381,7 @@
             self._handle(request, reply)
         finally:
             watch.stop()
+            reply.end()
         keeps = reply.is_complete and may_keep_connection()
         self.is_finishing = not keeps
         if reply.is_complete and request.keeps_connection and not keeps:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -360,6 +360,41 @@
     assert len(read_all(caller)) > len(edge.body)
 
 
+OLD_GET = b'GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
+
+
+def stream_to_old_caller(edge, *, is_whole):
+    """Return the head and the body that a caller of HTTP/1.0 is sent."""
+
+    def stream(_request, reply):
+        reply.start(200, Headers())
+        reply.send_piece(b'one ')
+        reply.send_piece(b'two')
+        gevent.sleep(0.05)
+        if is_whole:
+            reply.finish()
+
+    edge.handle = stream
+    caller = edge.connect()
+    caller.sendall(OLD_GET)
+    head, _, body = caller.recv(4096).partition(b'\r\n\r\n')
+    return head, body + read_all(caller)
+
+
+def test_a_caller_without_chunks_gets_bare_pieces(edge):
+    """Sizes of chunks stood between the pieces of its answer."""
+    head, body = stream_to_old_caller(edge, is_whole=True)
+    assert b'chunked' not in head
+    assert b'Connection: close' in head
+    assert body == b'one two'
+
+
+def test_an_answer_that_broke_off_looks_whole_to_no_caller(edge):
+    """An end of the connection is that of the answer for one without chunks."""
+    with pytest.raises(ConnectionResetError):
+        stream_to_old_caller(edge, is_whole=False)
+
+
 def test_a_handlers_defect_is_answered(edge):
     """The connection was closed without a word, and nothing was logged."""
     edge.defect = KeyError('a defect')
