--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -1,6 +1,7 @@
 """A listener for callers: one task per connection."""
 
 import socket as native_socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from verbenamux_http.closing import CloseWatch, has_closed, peek
 from verbenamux_http.errors import (
     CallerGone,
     ListenerStopping,
@@ -43,6 +45,8 @@
     503: 'Service Unavailable',
     504: 'Gateway Timeout',
 }
+# Has a close reset the connection.
+RESET = struct.pack('ii', 1, 0)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -66,16 +70,27 @@
         opened: socket.socket,
         may_keep_connection: Callable[[], bool],
         on_whole: Callable[[], None],
+        takes_chunks: bool = True,
     ) -> None:
         """Prepare an answer; nothing is written yet.
 
-        `on_whole` is called before a whole answer is written.
+        `on_whole` is called before a whole answer is written. Without chunks
+        the end of the connection is that of an answer in pieces.
         """
         self.is_started = False
         self.is_complete = False
         self._socket = opened
         self._may_keep_connection = may_keep_connection
         self._on_whole = on_whole
+        self._takes_chunks = takes_chunks
+
+    def check_wanted(self) -> None:
+        """Raise CallerGone if the caller has closed, though unnoticed yet.
+
+        A request may have been read with its caller's close behind it.
+        """
+        if has_closed(self._socket):
+            raise CallerGone('closed before')
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer.
@@ -89,20 +104,32 @@
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of an answer that comes in pieces."""
-        framed = headers.without(('Content-Length',)).replaced(
-            (('Transfer-Encoding', 'chunked'),),
-        )
+        framed = headers.without(('Content-Length', 'Transfer-Encoding'))
+        if self._takes_chunks:
+            framed = framed.replaced((('Transfer-Encoding', 'chunked'),))
         self._write(self._encode_head(status, framed))
 
     def send_piece(self, piece: bytes) -> None:
         """Write a piece of the body."""
-        self._write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        if self._takes_chunks:
+            piece = b'%x\r\n%b\r\n' % (len(piece), piece)
+        self._write(piece)
 
     def finish(self) -> None:
         """Write the end of an answer that came in pieces."""
-        self._write(b'0\r\n\r\n')
+        if self._takes_chunks:
+            self._write(b'0\r\n\r\n')
         self.is_complete = True
 
+    def end(self) -> None:
+        """Let a close show that an answer broke off, where nothing else does.
+
+        Only a reset tells a caller without chunks that pieces are missing.
+        """
+        is_broken_off = self.is_started and not self.is_complete
+        if is_broken_off and not self._takes_chunks:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self.is_started = True
         reason = REASON_BY_STATUS.get(status, 'Status')
@@ -202,7 +229,7 @@
         One whose request has arrived, but was not read yet, is not idle.
         """
         for opened, caller in tuple(self._idle_by_socket.items()):
-            if _peek(opened) is None:
+            if peek(opened) is None:
                 self._closed.add(opened)
                 # A caller that is gone has closed it already.
                 with suppress(OSError):
@@ -313,24 +340,34 @@
             raise RequestError(UNAVAILABLE, str(stopping)) from stopping
 
     def _read_request(self, on_first_byte: Callable[[], None]) -> Request:
-        limits = self._callbacks.limits()
-        allowed = limits.idle_time
         headers_by: timedelta | None = None
         while not self._parser.complete:
             if self._malformed is not None:
                 raise self._malformed
-            received = self._receive(allowed)
+            if self._parser.is_inside:
+                # It may have begun in the bytes of the request before.
+                on_first_byte()
+                headers_by = headers_by or self._headers_by()
+            received = self._receive(self._time_for_more(headers_by))
             on_first_byte()
+            headers_by = headers_by or self._headers_by()
             self._feed(received)
-            now = self._callbacks.elapsed()
-            headers_by = headers_by or now + limits.header_time
-            allowed = headers_by - now
-            if self._parser.has_head and self._parser.is_inside:
-                allowed = limits.idle_time
-                self._welcome_body()
         on_first_byte()
         return self._parser.complete.popleft()
 
+    def _headers_by(self) -> timedelta:
+        header_time = self._callbacks.limits().header_time
+        return self._callbacks.elapsed() + header_time
+
+    def _time_for_more(self, headers_by: timedelta | None) -> timedelta:
+        """Return how long the next bytes may take; welcomes a body."""
+        is_body = self._parser.has_head and self._parser.is_inside
+        if is_body:
+            self._welcome_body()
+        if is_body or headers_by is None:
+            return self._callbacks.limits().idle_time
+        return headers_by - self._callbacks.elapsed()
+
     def answer(self, request: Request) -> bool:
         """Answer a request; tell whether the connection goes on."""
 
@@ -341,14 +378,20 @@
                 bool(self._parser.complete) or not self._callbacks.is_stopping()
             )
 
-        reply = Reply(self._socket, may_keep_connection, self._note_finishing)
+        reply = Reply(
+            self._socket,
+            may_keep_connection,
+            self._note_finishing,
+            request.takes_chunks,
+        )
         self._socket.settimeout(WRITE_STALL_MOST.total_seconds())
-        watch = _watch_for_close(self._socket, getcurrent())
+        gone = CallerGone('closed while waiting')
+        watch = CloseWatch(self._socket, partial(_throw_soon, self.task, gone))
         try:
             self._handle(request, reply)
         finally:
             watch.stop()
-            watch.close()
+            reply.end()
         keeps = reply.is_complete and may_keep_connection()
         self.is_finishing = not keeps
         if reply.is_complete and request.keeps_connection and not keeps:
@@ -426,43 +469,6 @@
     return False
 
 
-def _peek(opened: socket.socket) -> bytes | None:
-    """Return what has arrived, None when nothing has.
-
-    No bytes mean that the connection is closed or broken.
-    """
-    try:
-        peeked: bytes = opened._sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b''
-    return peeked
-
-
-def _watch_for_close(
-    opened: socket.socket,
-    task: Any,
-) -> Any:
-    """Raise CallerGone in the task when its caller closes.
-
-    Bytes of a further request end the watch: the close is then seen when
-    the answer is written.
-    """
-    watcher = get_hub().loop.io(opened.fileno(), 1)
-
-    def on_readable() -> None:
-        peeked = _peek(opened)
-        if peeked is None:
-            return
-        watcher.stop()
-        if not peeked:
-            _throw_soon(task, CallerGone('closed while waiting'))
-
-    watcher.start(on_readable)
-    return watcher
-
-
 def _throw_soon(task: Any, error: Exception) -> None:
     get_hub().loop.run_callback(_throw_if_alive, task, error)
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -108,6 +108,20 @@
     assert edge.gone == 1
 
 
+@pytest.mark.parametrize('behind', [GET, b'\r\n', b'x' * 100])
+def test_a_caller_that_leaves_behind_unread_bytes_is_noticed(edge, behind):
+    """The watch ended with the first byte behind the request."""
+    edge.delay = 2
+    caller = edge.connect()
+    caller.sendall(GET)
+    gevent.sleep(0.05)
+    caller.sendall(behind)
+    gevent.sleep(0.05)
+    caller.close()
+    gevent.sleep(0.25)
+    assert edge.gone == 1
+
+
 def test_slow_headers_are_refused_however_they_trickle(edge):
     caller = edge.connect()
     for _ in range(4):
@@ -142,6 +156,47 @@
     assert edge.listener.wait_answered(SECOND)
 
 
+def begin_behind(edge, begun):
+    """Begin a request in the bytes of the one before; return its caller."""
+    caller = edge.connect()
+    caller.sendall(GET + begun)
+    assert caller.recv(4096).startswith(b'HTTP/1.1 200')
+    gevent.sleep(0.02)
+    return caller
+
+
+def test_a_stop_waits_for_a_request_that_began_behind_another(edge):
+    """Its connection was taken for an idle one and closed."""
+    caller = begin_behind(edge, GET[:-2])
+    edge.is_stopping = True
+    edge.listener.close_idle()
+    assert edge.listener.active
+    caller.sendall(GET[-2:])
+    assert read_all(caller).startswith(b'HTTP/1.1 200')
+
+
+def test_slow_headers_behind_another_request_are_refused(edge):
+    """They had the time of an idle connection."""
+    caller = begin_behind(edge, GET[:-2])
+    began_at = time.monotonic()
+    assert read_all(caller).startswith(b'HTTP/1.1 408')
+    took = timedelta(seconds=time.monotonic() - began_at)
+    assert took < (LIMITS.header_time + LIMITS.idle_time) / 2
+
+
+def test_a_body_behind_another_request_is_welcomed(edge):
+    """The word to go on came in front of the answer to the one before."""
+    head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n'
+    caller = edge.connect()
+    caller.sendall(GET + head + b'Expect: 100-continue\r\n\r\n')
+    gevent.sleep(0.05)
+    received = caller.recv(4096)
+    caller.sendall(b'x')
+    received += caller.recv(4096)
+    statuses = [part[1:4] for part in received.split(b'HTTP/1.1')[1:]]
+    assert statuses == [b'200', b'100', b'200']
+
+
 def test_a_connection_is_closed_behind_an_answer_begun_before_the_stop(edge):
     """A score's finding: it stayed open and took requests until the kill."""
     edge.delay = 0.1
@@ -307,6 +362,41 @@
     assert len(read_all(caller)) > len(edge.body)
 
 
+OLD_GET = b'GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
+
+
+def stream_to_old_caller(edge, *, is_whole):
+    """Return the head and the body that a caller of HTTP/1.0 is sent."""
+
+    def stream(_request, reply):
+        reply.start(200, Headers())
+        reply.send_piece(b'one ')
+        reply.send_piece(b'two')
+        gevent.sleep(0.05)
+        if is_whole:
+            reply.finish()
+
+    edge.handle = stream
+    caller = edge.connect()
+    caller.sendall(OLD_GET)
+    head, _, body = caller.recv(4096).partition(b'\r\n\r\n')
+    return head, body + read_all(caller)
+
+
+def test_a_caller_without_chunks_gets_bare_pieces(edge):
+    """Sizes of chunks stood between the pieces of its answer."""
+    head, body = stream_to_old_caller(edge, is_whole=True)
+    assert b'chunked' not in head
+    assert b'Connection: close' in head
+    assert body == b'one two'
+
+
+def test_an_answer_that_broke_off_looks_whole_to_no_caller(edge):
+    """An end of the connection is that of the answer for one without chunks."""
+    with pytest.raises(ConnectionResetError):
+        stream_to_old_caller(edge, is_whole=False)
+
+
 def test_a_handlers_defect_is_answered(edge):
     """The connection was closed without a word, and nothing was logged."""
     edge.defect = KeyError('a defect')
