Wait for a target with room for an adapter, ask none in vain

What callers saw: 503 "adapter waiver-fr could not be loaded" within milliseconds, after six attempts at the one target that holds the model and is full, though a second copy was a planner's step away.

Cause: a target was chosen by its model alone. Its heartbeats tell free memory and loaded adapters, but the choice didn't use them. A refusal for lack of room counted as an attempt, and with no other target the same one was asked again at the next heartbeat of any, until the attempts were used up.

Ruled out: a longer wait in the agent: it can't make room when models fill the engine, and would hold a slot meanwhile.

Change: a target without room for the adapter is no candidate. A refusal for lack of room (adapters that running attempts use, a report that is late) counts no attempt, as nothing began, and the target is left alone for 500 ms. All such waits together end after the five seconds that OPERATIONS.md promises, or at the deadline; then the caller is told not_run, for which adapter, and to come back after 5 s, the time of a plan and a load. The same bound now holds for targets whose agent is not connected; each of them began the five seconds anew.

Evidence: two new tests of the delivery and one of the choice failed on the code before (refused after six attempts, Retry-After 1 s, a full target chosen), and pass. test_late_engines.py and test_path.py passed three times in a row, nothing else running here.

--- a/libs/gateway/src/verbenamux_gateway/admission.py
+++ b/libs/gateway/src/verbenamux_gateway/admission.py
@@ -158,6 +158,7 @@
         need=Need(
             model=model,
             adapter=adapter_name,
+            adapter_mb=0 if adapter is None else adapter.memory_mb,
             prompt_tokens=prompt.tokens,
             output_tokens=tokens,
             prefix_blocks=prompt.blocks,
--- a/libs/gateway/src/verbenamux_gateway/delivery.py
+++ b/libs/gateway/src/verbenamux_gateway/delivery.py
@@ -22,13 +22,13 @@
     Started,
 )
 from verbenamux_gateway.fleet import Pending
+from verbenamux_gateway.patience import Patience, no_target
 from verbenamux_gateway.work import Tools, Work
 from verbenamux_routing.choose import Choice
 
 PROBE_AFTER = timedelta(milliseconds=500)
 LOST_AFTER = timedelta(seconds=3)
 RESUME_MOST = timedelta(seconds=15)
-TARGET_WAIT = timedelta(seconds=5)
 ATTEMPTS_MOST = 6
 TARGET_FAULTS = frozenset(
     (
@@ -61,6 +61,7 @@
     excluded: set[str] = field(default_factory=set)
     started: Started | None = None
     refusal: RequestFailure | None = None
+    patience: Patience = field(default_factory=Patience)
 
     @property
     def known_run(self) -> Run:
@@ -102,7 +103,7 @@
     def _choose(self) -> Choice:
         tools = self.tools
         waited_until = min(
-            tools.clock.elapsed() + TARGET_WAIT,
+            self.patience.waits_until(tools.clock.elapsed()),
             self.work.deadline,
         )
         while True:
@@ -110,7 +111,7 @@
             choice = tools.choose(
                 tools.fleet.views,
                 self.work.need,
-                frozenset(self.excluded),
+                self.patience.left_alone(now).union(self.excluded),
                 now,
             )
             if choice is not None:
@@ -120,7 +121,8 @@
                 raise RequestRejectedError(self.refusal.with_run(self.run))
             self.excluded.clear()
             if now >= waited_until:
-                raise self._fail(ErrorCode.NO_TARGET, 'no target is ready')
+                failure = no_target(self.work.need)
+                raise RequestRejectedError(failure.with_run(self.known_run))
             self._check_permit()
             tools.fleet.grown.wait(PROBE_AFTER.total_seconds())
 
@@ -147,7 +149,6 @@
         if not pending.link.send(self._dispatch(pending)):
             # Nothing left: no target until its agent is heard again.
             pending.view.alive = False
-            self.attempts -= 1
             return Broken(
                 pending.attempt_id,
                 Run.NOT_RUN.value,
@@ -275,9 +276,24 @@
             milliseconds(ending.retry_after_ms),
         )
         self.refusal = failure if failure.code in BUSY_CODES else None
+        if failure.code is ErrorCode.NO_TARGET:
+            self._wait_for_room(choice, now)
+        else:
+            self.patience.reset()
         if not self._may_retry(run) or now >= self.work.deadline:
             raise RequestRejectedError(failure)
 
+    def _wait_for_room(self, choice: Choice, now: timedelta) -> None:
+        """Count no attempt where none began, and wait only for so long."""
+        self.attempts -= 1
+        if choice.view.alive:
+            self.patience.turn_away(choice.view.target.name, now)
+        else:
+            self.patience.wait(now)
+        if now >= self.patience.waits_until(now):
+            failure = no_target(self.work.need)
+            raise RequestRejectedError(failure.with_run(self.run))
+
     def _may_retry(self, run: Run) -> bool:
         if self.attempts >= ATTEMPTS_MOST:
             return False
--- a/libs/routing/src/verbenamux_routing/choose.py
+++ b/libs/routing/src/verbenamux_routing/choose.py
@@ -60,7 +60,7 @@
     now: timedelta,
 ) -> Iterator[TargetView]:
     """Yield every usable target that can serve the need."""
-    return _usable(table, _names(table, need), excluded, now)
+    return _usable(table, _names(table, need), need, excluded, now)
 
 
 def _names(table: ViewTable, need: Need) -> list[str]:
@@ -72,17 +72,24 @@
 def _usable(
     table: ViewTable,
     names: Iterable[str],
+    need: Need,
     excluded: frozenset[str],
     now: timedelta,
 ) -> Iterator[TargetView]:
     for name in names:
         view = table.by_name[name]
-        if name in excluded or not view.usable:
+        if name in excluded or not _serves(view, need):
             continue
         if view.breaker.allows(now):
             yield view
 
 
+def _serves(view: TargetView, need: Need) -> bool:
+    if need.adapter and not view.takes_adapter(need.adapter_mb):
+        return False
+    return view.usable
+
+
 def _predicted(data_centre: str, random: Random) -> Chooser:
     def choose(
         table: ViewTable,
@@ -94,9 +101,9 @@
         sampled: Sequence[str] = names
         if len(names) > SAMPLE_MOST:
             sampled = random.sample(names, SAMPLE_MOST)
-        views = list(_usable(table, sampled, excluded, now))
+        views = list(_usable(table, sampled, need, excluded, now))
         if not views and len(names) > SAMPLE_MOST:
-            views = list(_usable(table, names, excluded, now))
+            views = list(_usable(table, names, need, excluded, now))
         return _better_of_two(views, need, now)
 
     def _better_of_two(
--- a/libs/routing/src/verbenamux_routing/score.py
+++ b/libs/routing/src/verbenamux_routing/score.py
@@ -15,10 +15,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What a request needs of a target; tokens are counts."""
+    """What a request needs of a target; tokens are counts, memory is MB."""
 
     model: str = ''
     adapter: str = ''
+    adapter_mb: int = 0
     service: str = ''
     prompt_tokens: int = 1
     output_tokens: int = 1
--- a/libs/routing/src/verbenamux_routing/views.py
+++ b/libs/routing/src/verbenamux_routing/views.py
@@ -60,6 +60,14 @@
         """Whether this very instance was marked as leaving."""
         return self.leaving_instance == self.instance
 
+    def takes_adapter(self, memory_mb: int) -> bool:
+        """Tell whether an adapter is there or may find room.
+
+        Loaded adapters make way for others, unless running attempts use
+        them; that only the agent knows.
+        """
+        return bool(self.adapters) or self.free_mb >= memory_mb
+
     def learn_prefixes(self, blocks: Iterable[int]) -> None:
         """Note blocks that the target is believed to have cached."""
         for block in blocks:
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -1,6 +1,8 @@
 """What a delivery knows of its run, whenever it is stopped."""
 
 from collections.abc import Iterator
+from dataclasses import replace
+from datetime import timedelta
 from types import SimpleNamespace
 
 import pytest
@@ -15,7 +17,15 @@
     Run,
 )
 from verbenamux_contracts.ids import AttemptId, RequestId
-from verbenamux_gateway.delivery import Delivery
+from verbenamux_gateway.delivery import (
+    ATTEMPTS_MOST,
+    Delivery,
+)
+from verbenamux_gateway.patience import (
+    ROOM_AGAIN,
+    ROOM_RETRY_AFTER,
+    TARGET_WAIT,
+)
 from verbenamux_gateway.work import Tools, Work
 from verbenamux_routing.breaker import Breaker
 from verbenamux_routing.choose import Choice
@@ -195,3 +205,69 @@
         read(made.pieces())
     assert rejected.value.failure.run is Run.NOT_RUN
     assert rejected.value.failure.code is ErrorCode.NO_TARGET
+
+
+NO_ROOM = msg.Refused('att', 'no_target', 'adapter a could not be loaded')
+
+
+def waiting_delivery(
+    clock: ManualClock,
+    fleet: FakeFleet,
+    seconds: int,
+) -> Delivery:
+    """Return a delivery whose waits pass the clock's time."""
+    made = delivery(clock, fleet)
+    fleet.grown = SimpleNamespace(
+        wait=lambda timeout: clock.advance(timedelta(seconds=timeout)),
+    )
+    only = made.tools.choose()
+    made.tools = replace(
+        made.tools,
+        choose=lambda _views, _need, excluded, _now: (
+            None if 't' in excluded else only
+        ),
+    )
+    deadline = clock.elapsed() + timedelta(seconds=seconds)
+    need = Need(model='m', adapter='a')
+    made.work = replace(made.work, need=need, deadline=deadline)
+    return made
+
+
+def test_target_without_room_is_asked_again_until_it_has_some(
+    clock: ManualClock,
+) -> None:
+    fleet = FakeFleet(*[[NO_ROOM]] * ATTEMPTS_MOST, WHOLE)
+    made = waiting_delivery(clock, fleet, seconds=60)
+    began = clock.elapsed()
+    assert read(made.pieces()) == [b'a', b'b']
+    assert made.attempts == 1
+    assert clock.elapsed() - began >= ATTEMPTS_MOST * ROOM_AGAIN
+
+
+def test_request_that_finds_no_room_is_refused_once_it_has_waited(
+    clock: ManualClock,
+) -> None:
+    fleet = FakeFleet(*[[NO_ROOM]] * 100)
+    made = waiting_delivery(clock, fleet, seconds=60)
+    began = clock.elapsed()
+    with pytest.raises(RequestRejectedError) as rejected:
+        read(made.pieces())
+    failure = rejected.value.failure
+    assert (failure.code, failure.run) == (ErrorCode.NO_TARGET, Run.NOT_RUN)
+    assert 'room for adapter a' in failure.message
+    assert failure.retry_after == ROOM_RETRY_AFTER
+    waited = clock.elapsed() - began
+    assert TARGET_WAIT <= waited < TARGET_WAIT + 2 * ROOM_AGAIN
+    assert len(fleet.dispatched) <= TARGET_WAIT / ROOM_AGAIN + 1
+
+
+def test_request_without_room_waits_no_longer_than_its_deadline(
+    clock: ManualClock,
+) -> None:
+    fleet = FakeFleet(*[[NO_ROOM]] * 100)
+    made = waiting_delivery(clock, fleet, seconds=2)
+    began = clock.elapsed()
+    with pytest.raises(RequestRejectedError):
+        read(made.pieces())
+    waited = clock.elapsed() - began
+    assert waited < timedelta(seconds=2) + 2 * ROOM_AGAIN
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -185,3 +185,21 @@
     for _ in range(5):
         budget.earn()
     assert budget.spend()
+
+
+def test_adapter_goes_only_where_it_is_or_may_find_room() -> None:
+    table = table_of('full', 'other')
+    need = Need(model='m', adapter='fr', adapter_mb=10)
+    chooser = make_chooser(RoutingPolicy.PREDICTED, 'here', Random(1))
+    table.learn(heartbeat('full', free_mb=9), NOW)
+    table.learn(heartbeat('other', free_mb=9), NOW)
+    assert chooser(table, need, frozenset(), NOW) is None
+    for changes in (
+        {'free_mb': 10},
+        {'adapters': ('fr',)},
+        {'adapters': ('another',)},
+    ):
+        table.learn(heartbeat('other', **changes), NOW)
+        choice = chooser(table, need, frozenset(), NOW)
+        assert choice.view.target.name == 'other'
+        assert len(choice.scores) == 1
