Let a witness's late promise count, wait for no silent witness

Besides, each round waited the whole second for the killed witness, and came every 1.75 s instead of 0.75 s. The lease of 3 s ran out at 22.0 and 23.6 s, while two of the four witnesses were down, and came back when the first was up again.

Ruled out: the witnesses and the log: no epoch, registration or fold is missing, neither gateway took a fresh name.

Change: an ask waits for as long as its promise is worth anything (a lease), a promise counts whenever it comes, its end from when it was asked for as before, so that it never ends later than the witness thinks. A round of asks ends once a majority has promised, or after 1 s.

Two of four witnesses down for longer than the rest of a lease still ends in no_lease: that is the lease's promise.

--- a/libs/admission/src/verbenamux_admission/lease.py
+++ b/libs/admission/src/verbenamux_admission/lease.py
@@ -24,13 +24,18 @@
         instance: str,
         asked_at: timedelta,
         duration: timedelta,
-    ) -> None:
-        """Note a promise; one of an instance known to be old is void."""
+    ) -> bool:
+        """Note a promise; one of an instance known to be old is void.
+
+        Returns whether it counts. However late it comes, it ends when it
+        was asked for to end.
+        """
         if self.current_instance(witness) != instance:
-            return
+            return False
         end = asked_at + duration
         known = self.end_by_witness.get(witness, timedelta())
         self.end_by_witness[witness] = max(known, end)
+        return True
 
     def is_valid(self, now: timedelta) -> bool:
         """Tell whether a majority's promises are still running."""
--- a/libs/gateway/src/verbenamux_gateway/shares.py
+++ b/libs/gateway/src/verbenamux_gateway/shares.py
@@ -262,18 +262,29 @@
         return age < self.lease_time / RENEWALS_PER_LEASE
 
     def _ask_witnesses(self, holder: str, lease: HolderLease) -> None:
+        """Ask for promises, and wait until most are there or time is up.
+
+        One that comes later counts still: after a pause of this process or
+        of the witnesses all of them are late.
+        """
         asks = [
             gevent.spawn(self._ask_witness, witness, holder, lease)
             for witness in lease.witnesses
         ]
-        gevent.joinall(asks)
+        promised = 0
+        seconds = ASK_TIMEOUT.total_seconds()
+        for answered in gevent.iwait(asks, timeout=seconds):
+            promised += bool(answered.value)
+            if 2 * promised > len(asks):
+                return
 
     def _ask_witness(
         self,
         witness: str,
         holder: str,
         lease: HolderLease,
-    ) -> None:
+    ) -> bool:
+        """Ask for a promise while it is worth having; tell if it counts."""
         asked_at = self.clock.elapsed()
         ask_id = new_attempt_id()
         ask = LeaseAsk(
@@ -281,14 +292,16 @@
             InstanceId(holder),
             to_milliseconds(self.lease_time),
         )
-        promise = self._ask(witness, ask_id, ask)
-        if isinstance(promise, LeasePromise) and promise.granted:
-            lease.renew(
-                witness,
-                promise.instance,
-                asked_at,
-                self.lease_time,
-            )
+        link = self.fleet.link_to(witness)
+        promise = link.ask(ask_id, ask, self.lease_time)
+        if not isinstance(promise, LeasePromise) or not promise.granted:
+            return False
+        return lease.renew(
+            witness,
+            promise.instance,
+            asked_at,
+            self.lease_time,
+        )
 
     def _reclaim(self, dead: str) -> None:
         if pick(dead, self._alive_names(), 1) != [self.name]:
