Keepers that restart take their part of the store's pace as spent

Cause: a keeper's memory of its loads ended with its process, while the window of the rule goes on.

Ruled out: learning it from the engine. Its report tells no time of a load, a restart clears the number of its orders, and a power loss ends the engine too. Gateways lose their memory at the same moment. A record of each load in the store would cost a write a load and a read a start, and the store may be down then.

Change: a keeper that is not in the site's first start (`bootstrap`) begins no load from the store for one window; where engines get less than a load a window, the random wait follows that. Loads from memory and disk are not held up. The store's pace without word on `bootstrap` counts as spent, the safe side. The soak's world tells its programs the same way as the platform: true once, false from then on.

Existing tests of orders start keepers in a first start.

--- a/libs/keeper/src/verbenamux_keeper/pacing.py
+++ b/libs/keeper/src/verbenamux_keeper/pacing.py
@@ -30,8 +30,13 @@
         window: timedelta = WINDOW,
         overage: float = 1.0,
         random: Random | None = None,
+        *,
+        is_first_start: bool = False,
     ) -> None:
-        """Start with the part unspent.
+        """Start with the part unspent in the first start of all engines.
+
+        Else a process before this one may have spent it until a moment ago,
+        so it counts as spent for one window.
 
         In any `window` all engines together may begin as many loads as the
         pace allows times `overage`. Where that is less than one for each,
@@ -40,7 +45,9 @@
         self._elapsed = elapsed
         self._window = window
         self._overage = overage
-        self._started_at = elapsed()
+        self._begins_at = elapsed()
+        if not is_first_start:
+            self._begins_at += window * SPAN_FACTOR
         self._phase = (random or Random()).random()
         self._starts: deque[timedelta] = deque(maxlen=64)
 
@@ -50,11 +57,13 @@
         budget = loads_per_second * seconds * self._overage
         part = budget / max(targets, 1)
         now = self._elapsed()
+        if now < self._begins_at:
+            return False
         if part >= 1:
             oldest = now - self._window * SPAN_FACTOR
             return sum(start > oldest for start in self._starts) < int(part)
         span = self._window * SPAN_FACTOR / max(part * CHANCE_PART, LEAST_PART)
-        if now - self._started_at < span * self._phase:
+        if now - self._begins_at < span * self._phase:
             return False
         return not self._starts or now - self._starts[-1] >= span
 
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -60,6 +60,7 @@
         self.late = []
         self.orders = 0
         self.running = set()
+        self.on_disk = set()
         self.is_silent = False
 
     def port(self):
@@ -84,6 +85,7 @@
                 for model, adapters in self.models.items()
             },
             pending=frozenset(self.pending),
+            on_disk=frozenset(self.on_disk),
             running_ids=frozenset(self.running),
             is_busy=self.clock.elapsed() < self.ready_at,
             orders_taken=self.taken,
@@ -164,12 +166,11 @@
     return []
 
 
-@pytest.fixture
-def keeper(engine, clock, sent):
+def make_keeper(engine, clock, sent, *, is_first_start=True):
     made = Keeper(
         PLACE,
         engine.port(),
-        StorePace(clock.elapsed),
+        StorePace(clock.elapsed, is_first_start=is_first_start),
         clock,
         lambda sender, message: sent.append((sender, message)),
         lambda event, **fields: None,
@@ -179,6 +180,11 @@
     return made
 
 
+@pytest.fixture
+def keeper(engine, clock, sent):
+    return make_keeper(engine, clock, sent)
+
+
 def ask(keeper, sent, model, *evict):
     keeper._answer_model(b'gateway', ModelAsk('ask', model, evict))
     return sent[-1][1]
@@ -332,7 +338,7 @@
     keeper = Keeper(
         PLACE,
         engine.port(),
-        StorePace(clock.elapsed),
+        StorePace(clock.elapsed, is_first_start=True),
         clock,
         lambda sender, message: sent.append((sender, message)),
         lambda event, **fields: None,
@@ -359,46 +365,16 @@
     assert not fits('m1', held, NOTICE)
 
 
-@pytest.mark.parametrize(
-    ('rate', 'targets'),
-    [(1.4, 6), (2.1, 9), (7.5, 26), (0.5, 12), (1.4, 40)],
-)
-def test_all_engines_together_keep_the_pace_of_the_store(rate, targets):
-    """All engines lose their models and load from the store at once."""
-    clock = ManualClock()
-    window = timedelta(seconds=5)
-    paces = [
-        StorePace(clock.elapsed, window, 1.1, Random(number))
-        for number in range(targets)
-    ]
-    starts = []
-    for _ in range(600):
-        clock.advance(timedelta(milliseconds=100))
-        for pace in paces:
-            if pace.is_ready(rate, targets):
-                pace.note_start()
-                starts.append(clock.elapsed())
-    budget = rate * 5 * 1.1 + 3
-    for start in starts:
-        within = [at for at in starts if start <= at <= start + window]
-        assert len(within) <= budget
-    assert len(starts) > 60 * rate / 3
-
-
-def test_keepers_that_restart_keep_the_pace_of_the_store():
-    """Hosts lost power, and their keepers forgot the loads just before it."""
-    clock = ManualClock()
-    window = timedelta(seconds=5)
-    rate, targets = 2.1, 9
-    starts = []
-    for _ in range(2):
-        paces = [StorePace(clock.elapsed, window, 1.1) for _ in range(targets)]
-        for pace in paces:
-            if pace.is_ready(rate, targets):
-                pace.note_start()
-                starts.append(clock.elapsed())
-        clock.advance(timedelta(seconds=2))
-    assert len(starts) <= rate * 5 * 1.1 + 3
+def test_a_keeper_that_restarted_loads_from_the_disk_at_once(
+    sent, engine, clock
+):
+    """The store's pace says nothing of an engine's own copies."""
+    engine.on_disk = {'m1'}
+    keeper = make_keeper(engine, clock, sent, is_first_start=False)
+    assert ask(keeper, sent, 'm1').in_place
+    assert 'pace' in ask(keeper, sent, 'm2').cause
+    clock.advance(timedelta(seconds=6))
+    assert ask(keeper, sent, 'm2').in_place
 
 
 def test_adapters_that_waited_for_a_load_go_before_the_next_model():
@@ -408,7 +384,7 @@
     keeper = Keeper(
         PLACE,
         engine.port(),
-        StorePace(engine.clock.elapsed),
+        StorePace(engine.clock.elapsed, is_first_start=True),
         engine.clock,
         lambda sender, message: sent.append(message),
         lambda event, **fields: None,
--- /dev/null
+++ b/tests/keeper/test_pacing.py
@@ -0,0 +1,94 @@
+"""All engines together keep the pace of the weight store."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from verbenamux_contracts.clock import ManualClock
+from verbenamux_keeper.pacing import StorePace
+
+
+@pytest.mark.parametrize(
+    ('rate', 'targets'),
+    [(1.4, 6), (2.1, 9), (7.5, 26), (0.5, 12), (1.4, 40)],
+)
+def test_all_engines_together_keep_the_pace_of_the_store(rate, targets):
+    """All engines lose their models and load from the store at once."""
+    clock = ManualClock()
+    window = timedelta(seconds=5)
+    paces = [
+        StorePace(
+            clock.elapsed, window, 1.1, Random(number), is_first_start=True
+        )
+        for number in range(targets)
+    ]
+    starts = []
+    for _ in range(600):
+        clock.advance(timedelta(milliseconds=100))
+        for pace in paces:
+            if pace.is_ready(rate, targets):
+                pace.note_start()
+                starts.append(clock.elapsed())
+    budget = rate * 5 * 1.1 + 3
+    for start in starts:
+        within = [at for at in starts if start <= at <= start + window]
+        assert len(within) <= budget
+    assert len(starts) > 60 * rate / 3
+
+
+def test_keepers_that_restart_keep_the_pace_of_the_store():
+    """Hosts lost power, and their keepers forgot the loads just before it."""
+    clock = ManualClock()
+    window = timedelta(seconds=5)
+    rate, targets = 2.1, 9
+    starts = []
+    for is_first_start in (True, False):
+        paces = [
+            StorePace(clock.elapsed, window, 1.1, is_first_start=is_first_start)
+            for _ in range(targets)
+        ]
+        for pace in paces:
+            if pace.is_ready(rate, targets):
+                pace.note_start()
+                starts.append(clock.elapsed())
+        clock.advance(timedelta(seconds=2))
+    assert starts
+    assert len(starts) <= rate * 5 * 1.1 + 3
+
+
+@pytest.mark.parametrize('calm', [0.3, 2, 4.9, 12])
+@pytest.mark.parametrize(
+    ('rate', 'targets'),
+    [(1.4, 6), (2.1, 9), (7.5, 26)],
+)
+def test_restarts_at_any_moment_keep_the_pace_of_the_store(rate, targets, calm):
+    """All keepers restart again and again, `calm` seconds apart.
+
+    Loads go on between restarts that leave the time for it.
+    """
+    clock = ManualClock()
+    window = timedelta(seconds=5)
+    starts = []
+    for life in range(4):
+        paces = [
+            StorePace(
+                clock.elapsed,
+                window,
+                1.1,
+                Random(life * targets + number),
+                is_first_start=life == 0,
+            )
+            for number in range(targets)
+        ]
+        for _ in range(int((calm if life < 3 else 60) * 10)):
+            clock.advance(timedelta(milliseconds=100))
+            for pace in paces:
+                if pace.is_ready(rate, targets):
+                    pace.note_start()
+                    starts.append(clock.elapsed())
+    for start in starts:
+        within = [at for at in starts if start <= at <= start + window]
+        assert len(within) <= rate * 5 * 1.1 + 3
+    last = clock.elapsed() - timedelta(seconds=55)
+    assert sum(start > last for start in starts) > 55 * rate / 3
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -203,6 +203,9 @@
     assert settings.callers == ('127.0.0.1', 8221)
     assert settings.key_trust == timedelta(seconds=4.4)
     assert settings.engine is None
+    assert not settings.is_first_start
+    path.write_text(f'{SETTINGS}bootstrap: true')
+    assert read_process_settings(path).unwrap().is_first_start
 
 
 @pytest.mark.parametrize(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -120,6 +120,8 @@
         with gevent.Timeout(30):
             while not all(map(self.is_ready, gateways)):
                 gevent.sleep(0.1)
+        for name in programs:
+            self.write_settings(name, is_first_start=False)
 
     def start_store(self):
         self.route_store = log_route(self.clock, HOUR)
@@ -149,8 +151,20 @@
             yield Line(name, f'{host}:{PROXY_PORT}', f'{host}:{CALLERS_PORT}')
 
     def prepare(self, name):
+        path = self.write_settings(name, is_first_start=True)
+        role = name.split('-')[0]
+        return Process(
+            name,
+            [sys.executable, '-m', f'verbenamux_platform.run_{role}'],
+            self.folder / f'{name}.log',
+            {**ENVIRONMENT, 'VERBENAMUX_BOOT': str(path)},
+        )
+
+    def write_settings(self, name, *, is_first_start):
+        """Write a program's settings for its next start; return where."""
         host = self.host(name)
         settings = {
+            'bootstrap': is_first_start,
             'node_name': name,
             'ip': host,
             'zone': 'z1' if name.endswith('1') else 'z2',
@@ -167,13 +181,7 @@
             settings |= {'app': f'{host}:{APP_PORT}', 'service': 'engine'}
         path = self.folder / f'{name}.yaml'
         path.write_text(json.dumps(settings))
-        role = name.split('-')[0]
-        return Process(
-            name,
-            [sys.executable, '-m', f'verbenamux_platform.run_{role}'],
-            self.folder / f'{name}.log',
-            {**ENVIRONMENT, 'VERBENAMUX_BOOT': str(path)},
-        )
+        return path
 
     def put(self, topic, key, value):
         """Write a record as the platform would; return when it was kept."""
