Tell the soak's programs of later starts once the first ones are up

The world rewrote the settings once its gateways were ready. Where a test starts a keeper alone nobody was waited for, and the keeper read 'not the first start' before its first load (seen in a new test of one keeper: no order in 6 s). The world now waits for every program: keepers answer readiness on the port of their pages.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -116,9 +116,8 @@
         for name in programs:
             self.programs[name] = self.prepare(name)
             self.programs[name].start()
-        gateways = [name for name in programs if name in GATEWAYS]
         with gevent.Timeout(30):
-            while not all(map(self.is_ready, gateways)):
+            while not all(map(self.is_ready, programs)):
                 gevent.sleep(0.1)
         for name in programs:
             self.write_settings(name, is_first_start=False)
@@ -294,7 +293,8 @@
             '/api/readiness',
             Headers((('Host', 'h'),)),
         )
-        address = (self.host(name), READY_PORT)
+        port = READY_PORT if name in GATEWAYS else METRICS_PORT
+        address = (self.host(name), port)
         try:
             head, _ = call(self.pool, address, outgoing, SOON)
         except ExchangeFailure:
