Part the keeper: orders, adapters, and what gateways ask

Behaviour as it was: functions moved, names alone changed; adapters at rest are still found one by one, so that a use that comes while an order is given counts, and an adapter's load is told of at the same moments. Tests name the new places and are else unchanged.

--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -16,6 +16,7 @@
     ModelAsk,
     ModelSize,
 )
+from verbenamux_keeper.adapters import RUN_NEWS
 from verbenamux_keeper.engine import (
     EnginePort,
     EngineState,
@@ -23,12 +24,7 @@
     OrderKind,
 )
 from verbenamux_keeper.holding import fits
-from verbenamux_keeper.keeper import (
-    READ_PERIOD,
-    RUN_NEWS,
-    EnginePlace,
-    Keeper,
-)
+from verbenamux_keeper.keeper import READ_PERIOD, EnginePlace, Keeper
 from verbenamux_keeper.pacing import StorePace
 
 NOTICE = EngineNotice(
@@ -213,7 +209,7 @@
         sent.clear()
         for _ in range(20):
             clock.advance(READ_PERIOD)
-            keeper.refresh()
+            keeper.orders.refresh()
             keeper.tell()
             keeper.receive(b'gateway', KeeperHello('g', wants_report=True))
         return len(sent)
@@ -249,7 +245,7 @@
     for name in ('a1', 'a2', 'a3'):
         assert ask_adapter(keeper, sent, 'm1', name).in_place
         clock.advance(timedelta(seconds=1))
-    keeper._note_use('m1/a1')
+    keeper._uses.note_use('m1/a1')
     clock.advance(timedelta(seconds=1))
     assert ask_adapter(keeper, sent, 'm1', 'a4').in_place
     assert engine.models['m1'] == {'a1', 'a3', 'a4'}
@@ -260,7 +256,7 @@
     for name in ('a1', 'a2', 'a3'):
         ask_adapter(keeper, sent, 'm1', name)
     for name in ('a1', 'a2', 'a3'):
-        keeper._note_use(f'm1/{name}')
+        keeper._uses.note_use(f'm1/{name}')
     reply = ask_adapter(keeper, sent, 'm1', 'a4')
     assert not reply.in_place
     assert 'in use' in reply.cause
@@ -390,7 +386,7 @@
         lambda event, **fields: None,
     )
     keeper.receive(b'gateway', NOTICE)
-    keeper.refresh()
+    keeper.orders.refresh()
     for name in ('m1', 'm2'):
         keeper.receive(b'gateway', ModelAsk(name, name))
     gevent.sleep(0.1)
