Keepers that stop answer what is open and say that they leave

What callers saw: a request whose model or adapter had been asked for at a keeper that got SIGTERM waited for an answer that nobody would give: a gateway bounds a model's ask by 12 s or 1.3 s of silence, and a keeper that is back within that is not silent.

A gateway places nothing at a keeper that leaves until one reports again; requests go on to its engine, which lives. What the engine accepted before may still come; the next keeper reports it. Reports name the run of the keeper, for what follows.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -344,7 +344,8 @@
     pace is spent. `terms` are those of the newest EngineNotice. `started_ms`
     is the Unix time of the engine's start, `ordered_ms` how long ago the
     model order under way was asked for.
-    `revision` counts the changes of holdings.
+    `revision` counts the changes of holdings, and `keeper` names the run of
+    the keeper's process.
     """
 
     target_id: str
@@ -366,6 +367,7 @@
     ordered_ms: int = 0
     store_loads_ready: bool = True
     revision: int = 0
+    keeper: str = ''
 
 
 class KeeperLoad(Message, frozen=True):
@@ -391,6 +393,12 @@
     ordered_ms: int = 0
 
 
+class KeeperLeaving(Message, frozen=True):
+    """A keeper that stops: its engine gets no orders until another reports."""
+
+    target_id: str
+
+
 class ModelAsk(Message, frozen=True):
     """A gateway asks a keeper to load a model once others made way."""
 
@@ -476,6 +484,7 @@
     | EngineNotice
     | KeeperReport
     | KeeperLoad
+    | KeeperLeaving
     | ModelAsk
     | AdapterAsk
     | AdapterUse
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -1,5 +1,6 @@
 """Carrying out what gateways ask of an engine, one model at a time."""
 
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -36,6 +37,10 @@
 MODEL_MOST = timedelta(seconds=20)
 # A model that has just come is not made to go: requests wait for it.
 MODEL_REST = timedelta(milliseconds=1200)
+# Bytes that tell a keeper's run from the one before.
+RUN_ID_BYTES = 4
+# Why a keeper that stops has nothing in place.
+STOPPING = 'the keeper stops'
 # Adapters that waited for a model order go first for at most this long.
 ADAPTERS_TURN = timedelta(milliseconds=120)
 
@@ -61,6 +66,7 @@
     ordering: str | None = None
     ordered_at: timedelta = timedelta()
     adapters_waiting: int = 0
+    sender_by_open_ask: dict[str, bytes] = field(default_factory=dict)
     loaded_at_by_model: dict[str, timedelta] = field(default_factory=dict)
 
 
@@ -79,6 +85,7 @@
     ) -> None:
         """Start with nothing known of the engine."""
         self.state = KeeperState()
+        self._run_id = secrets.token_hex(RUN_ID_BYTES)
         self._place = place
         self._pace = pace
         self._clock = clock
@@ -105,11 +112,24 @@
                 self._take_notice(message)
             case AdapterUse():
                 self._uses.note_run(message)
+            case ModelAsk() | AdapterAsk() if self.orders.is_stopping:
+                self._send(sender, LoadReply(message.ask_id, False, STOPPING))
             case ModelAsk():
                 gevent.spawn(self._answer_model, sender, message)
             case AdapterAsk():
                 gevent.spawn(self._answer_adapter, sender, message)
 
+    def stop(self) -> None:
+        """Give no more orders, and answer all that was asked for.
+
+        The engine may carry out later what it was ordered before.
+        """
+        self.orders.is_stopping = True
+        for ask_id in tuple(self.state.sender_by_open_ask):
+            self._reply(ask_id, STOPPING)
+        if self.orders.target_id is not None:
+            self._reporter.leave(self.orders.target_id)
+
     def run(self) -> None:
         """Read the engine for ever and tell gateways what changed."""
         while True:
@@ -122,9 +142,11 @@
         """Tell gateways what changed, if it is due.
 
         Nothing of an engine that does not answer: a report tells that it
-        lives.
+        lives. Nor while this process stops.
         """
-        if self.orders.is_heard and self.orders.target_id is not None:
+        orders = self.orders
+        is_known = orders.is_heard and orders.target_id is not None
+        if is_known and not orders.is_stopping:
             self._reporter.tell(self._report())
 
     def _report(self) -> KeeperReport:
@@ -156,6 +178,7 @@
                 notice.store_loads_per_second,
                 notice.targets,
             ),
+            keeper=self._run_id,
         )
 
     def _ordered_ms(self) -> int:
@@ -173,6 +196,7 @@
             self.state.notice = notice
 
     def _answer_model(self, sender: bytes, ask: ModelAsk) -> None:
+        self.state.sender_by_open_ask[ask.ask_id] = sender
         with self._models_lock:
             self._let_adapters_pass()
             self.state.ordering = ask.model
@@ -190,7 +214,13 @@
             ),
         )
         self.tell()
-        self._send(sender, LoadReply(ask.ask_id, not cause, cause))
+        self._reply(ask.ask_id, cause)
+
+    def _reply(self, ask_id: str, cause: str) -> None:
+        """Answer an ask that has no answer yet."""
+        sender = self.state.sender_by_open_ask.pop(ask_id, None)
+        if sender is not None:
+            self._send(sender, LoadReply(ask_id, not cause, cause))
 
     def _let_adapters_pass(self) -> None:
         """Wait for adapters whose orders waited for the model before.
@@ -268,13 +298,14 @@
         )
 
     def _answer_adapter(self, sender: bytes, ask: AdapterAsk) -> None:
+        self.state.sender_by_open_ask[ask.ask_id] = sender
         self.state.adapters_waiting += 1
         try:
             self._await_order(timedelta(milliseconds=ask.patience_ms))
             cause = self._adapters.load(ask, self.state.notice)
         finally:
             self.state.adapters_waiting -= 1
-        self._send(sender, LoadReply(ask.ask_id, not cause, cause))
+        self._reply(ask.ask_id, cause)
 
     def _await_order(self, patience: timedelta) -> None:
         """Wait while the engine loads a model and takes no other order."""
--- a/libs/keeper/src/verbenamux_keeper/ordering.py
+++ b/libs/keeper/src/verbenamux_keeper/ordering.py
@@ -27,7 +27,8 @@
     """An engine as last read, and the orders given to it.
 
     `is_heard` tells whether the newest read got an answer. Who must see the
-    engine unchanged between a read and an order holds `lock`.
+    engine unchanged between a read and an order holds `lock`. Once
+    `is_stopping` no order is given any more.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.target_id: str | None = None
         self.engine: EngineState | None = None
         self.is_heard = False
+        self.is_stopping = False
         self.lock = RLock()
         self._port = port
         self._clock = clock
@@ -83,7 +85,7 @@
         """Give an order until the engine took it; tell whether it did."""
         give_up_at = self._clock.elapsed() + ORDER_MOST
         with self.lock:
-            while self._clock.elapsed() < give_up_at:
+            while self._clock.elapsed() < give_up_at and not self.is_stopping:
                 answer = self._order_once(kind, model, adapter)
                 if answer in TAKEN_ANSWERS:
                     return True
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -11,7 +11,12 @@
 import msgspec
 
 from verbenamux_contracts.clock import Clock
-from verbenamux_contracts.messages import KeeperLoad, KeeperReport, LoadReply
+from verbenamux_contracts.messages import (
+    KeeperLeaving,
+    KeeperLoad,
+    KeeperReport,
+    LoadReply,
+)
 
 # Reports whose counts alone changed go out no more often than this, in a
 # small fleet.
@@ -32,6 +37,7 @@
     'data_centre',
     'terms',
     'total_tokens',
+    'keeper',
 )
 # What is told as soon as it changes. Adapters are not: who asked for one
 # hears of it anyway.
@@ -48,7 +54,8 @@
 # What is told with each change, and by itself only now and then.
 COUNTS = ('unstarted', 'active', 'used_tokens')
 
-Send = Callable[[bytes, KeeperReport | KeeperLoad | LoadReply], object]
+Told = KeeperReport | KeeperLoad | KeeperLeaving | LoadReply
+Send = Callable[[bytes, Told], object]
 
 
 class Reporter:
@@ -87,6 +94,11 @@
             self._unserved.discard(sender)
             self._send(sender, told)
 
+    def leave(self, target_id: str) -> None:
+        """Tell all that no reports follow."""
+        for sender in self._heard_at_by_sender:
+            self._send(sender, KeeperLeaving(target_id))
+
     def _revised(self, report: KeeperReport) -> KeeperReport:
         return msgspec.structs.replace(report, revision=self._revision)
 
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import partial
 
@@ -10,6 +10,7 @@
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import (
     AnyMessage,
+    KeeperLeaving,
     KeeperLoad,
     KeeperReport,
     ReadAsk,
@@ -319,10 +320,18 @@
             if report.target_id not in self.beliefs.book.by_id:
                 self._introduce(message)
         else:
+            if isinstance(message, KeeperLeaving):
+                self._note_leaving(message.target_id)
             return
         if report is not None:
             self._take_report(report)
 
+    def _note_leaving(self, target_id: str) -> None:
+        """Give a keeper that stops no orders until another one reports."""
+        target = self.beliefs.book.by_id.get(target_id)
+        if target is not None and target.report is not None:
+            target.report = replace(target.report, is_keeper_leaving=True)
+
     def _take_report(self, report: TargetReport) -> None:
         target = self.beliefs.book.by_id.get(report.target_id)
         if target is None:
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -200,6 +200,7 @@
         revision=message.revision,
         store_loads_ready=message.store_loads_ready,
         terms=message.terms,
+        keeper=message.keeper,
     )
 
 
--- a/libs/relay/src/verbenamux_relay/picking.py
+++ b/libs/relay/src/verbenamux_relay/picking.py
@@ -148,7 +148,7 @@
     """Yield the targets of a service that a keeper reports on."""
     for target in book.of_service(service):
         report = target.report
-        if report is None or target.has_silent_keeper(now):
+        if report is None or not target.takes_orders(now):
             continue
         if is_serving(target, now):
             yield _holding(target.entry.target_id, report)
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -44,7 +44,8 @@
 class TargetReport:
     """A target as the keeper beside it sees it; times are monotonic.
 
-    `ordered_at` is when the model order under way was asked for.
+    `ordered_at` is when the model order under way was asked for, `keeper`
+    names the run of the keeper that told it.
     """
 
     target_id: str
@@ -63,6 +64,8 @@
     revision: int = 0
     store_loads_ready: bool = True
     terms: str = ''
+    keeper: str = ''
+    is_keeper_leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -155,6 +158,14 @@
             now - report.received_at > KEEPER_SILENCE
         )
 
+    def takes_orders(self, now: timedelta) -> bool:
+        """Tell whether a keeper would carry out orders."""
+        return (
+            self.report is not None
+            and not self.report.is_keeper_leaving
+            and not self.has_silent_keeper(now)
+        )
+
     def note_replaced(self, now: timedelta) -> None:
         """Note that another target answers at its address."""
         self.replaced_until = now + REPLACED_REST
