Asks to keepers end when their keeper does

What callers saw: a request that needs an adapter waited for as long as its ask may take, 0.4 s plus 1.5 times what its engine's model order has left (6 s and more behind a load from the store), though its keeper had ended. An ask for a model noticed a keeper that fell silent, but not one that was killed and back within 1.3 s: then for 12 s.

Cause: load_adapter asked without the watch that models have, and the watch knew silence only. A new process reports as the old one did.

Change: one way to ask for both. The wait ends within 250 ms once the target is gone, its keeper is silent, leaves, or names another run of itself. A reply that came while the keeper fell silent counts (it was dropped before). A request that is given up takes its ask along.

--- a/libs/relay/src/verbenamux_relay/loading.py
+++ b/libs/relay/src/verbenamux_relay/loading.py
@@ -87,20 +87,17 @@
 
         `order_left` is how long its engine takes no order yet.
         """
-        link = self.link_of(target.entry.target_id)
-        if link is None:
-            return False
         ask_id = new_request_id()
         patience = order_left * PATIENCE_FACTOR
-        reply = link.ask(
-            ask_id,
+        reply = self._ask(
+            target.entry.target_id,
             AdapterAsk(ask_id, model, adapter, to_milliseconds(patience)),
             ADAPTER_MOST + patience,
         )
-        in_place = isinstance(reply, LoadReply) and reply.in_place
+        in_place = reply is not None and reply.in_place
         self.count('adapter_loads_total', outcome=_outcome(in_place))
         if not in_place:
-            cause = reply.cause if isinstance(reply, LoadReply) else 'silent'
+            cause = 'silent' if reply is None else reply.cause
             self.log(
                 'adapter_not_loaded',
                 target=target.entry.target_id,
@@ -120,18 +117,10 @@
 
     def carry_out(self, move: Move) -> bool:
         """Ask a keeper for a move; tell whether the model is in place."""
-        link = self.link_of(move.target_id)
-        if link is None:
-            return False
         ask_id = new_request_id()
-        asking = gevent.spawn(
-            link.ask,
-            ask_id,
-            ModelAsk(ask_id, move.model, move.evict),
-            MODEL_MOST,
-        )
-        reply = self._watch(asking, move.target_id)
-        in_place = isinstance(reply, LoadReply) and reply.in_place
+        ask = ModelAsk(ask_id, move.model, move.evict)
+        reply = self._ask(move.target_id, ask, MODEL_MOST)
+        in_place = reply is not None and reply.in_place
         if not in_place:
             rest_until = self.clock.elapsed() + REFUSAL_REST
             self._resting_until[move.target_id] = rest_until
@@ -142,20 +131,44 @@
             model=move.model,
             evicted=move.evict,
             in_place=in_place,
-            cause=reply.cause if isinstance(reply, LoadReply) else 'silent',
+            cause='silent' if reply is None else reply.cause,
         )
         return in_place
 
-    def _watch(self, asking: gevent.Greenlet, target_id: str) -> object:
-        """Return the reply, or None once the keeper fell silent."""
-        while not asking.ready():
+    def _ask(
+        self,
+        target_id: str,
+        ask: ModelAsk | AdapterAsk,
+        timeout: timedelta,
+    ) -> LoadReply | None:
+        """Return a keeper's reply, or None.
+
+        A keeper that fell silent, left or started anew does not reply any
+        more: the wait ends within WATCH_PERIOD of knowing it.
+        """
+        link = self.link_of(target_id)
+        target = self.book.by_id.get(target_id)
+        if link is None or target is None:
+            return None
+        asked = target.report.keeper if target.report else None
+        asking = gevent.spawn(link.ask, ask.ask_id, ask, timeout)
+        try:
             asking.join(WATCH_PERIOD.total_seconds())
-            target = self.book.by_id.get(target_id)
-            now = self.clock.elapsed()
-            if target is None or target.has_silent_keeper(now):
-                asking.kill()
-                return None
-        return asking.value
+            while not asking.ready() and self._may_reply(target_id, asked):
+                asking.join(WATCH_PERIOD.total_seconds())
+        finally:
+            asking.kill(block=False)
+        reply = asking.value
+        return reply if isinstance(reply, LoadReply) else None
+
+    def _may_reply(self, target_id: str, asked: str | None) -> bool:
+        """Tell whether the keeper that was asked may still be there."""
+        target = self.book.by_id.get(target_id)
+        if target is None or target.report is None:
+            return target is not None
+        return target.takes_orders(self.clock.elapsed()) and (
+            asked in {None, target.report.keeper}
+        )
 
     def _load_somewhere(self, service: Service, model: str) -> None:
         try:
