A keeper gives an order up when its engine restarts

What callers saw: an engine that crashed while it loaded a model loaded nothing else for up to 20 s after it was back, and it is back empty: its keeper still waited for the order that the crash had ended, and reported an order under way. Adapters' asks waited 0.6 s.

Cause: the wait reads the engine until the model is in place or time is up; that the engine started anew was known (it is identified then) and not looked at. Found by reading for waits that do not know the end of what they wait for, not seen in a log.

Change: the wait ends with 'the engine restarted' once a read shows a new start.

Tests: tests/keeper/test_restarting.py, for a model (the next one is in place within 2.5 s) and an adapter. Both fail on the code before.

--- a/libs/keeper/src/verbenamux_keeper/ordering.py
+++ b/libs/keeper/src/verbenamux_keeper/ordering.py
@@ -51,6 +51,7 @@
         self._count = count
         self._note_read = note_read
         self._token: int | None = None
+        self._starts = 0
 
     def refresh(self) -> EngineState | None:
         """Read the engine; a restarted one is identified anew."""
@@ -64,6 +65,7 @@
             or read.started_ms != known.started_ms
             or read.orders_taken < known.orders_taken
         )
+        self._starts += is_restarted
         if is_restarted or self.target_id is None:
             self.target_id = self._port.identify()
             self._log(
@@ -141,11 +143,17 @@
         timeout: timedelta,
         period: timedelta,
     ) -> str:
-        """Read until a condition holds; return why it does not, or nothing."""
+        """Read until a condition holds; return why it does not, or nothing.
+
+        An engine that restarted meanwhile has lost its orders.
+        """
+        starts = self._starts
         give_up_at = self._clock.elapsed() + timeout
         while self._clock.elapsed() < give_up_at:
             engine = self.refresh()
             if engine is not None and condition(engine):
                 return ''
+            if self._starts > starts:
+                return 'the engine restarted'
             self._clock.sleep(period)
         return 'the engine did not finish the order in time'
--- a/tests/keeper/engines.py
+++ b/tests/keeper/engines.py
@@ -44,6 +44,7 @@
         self.running = set()
         self.on_disk = set()
         self.is_silent = False
+        self.adapter_seconds = 0.009
 
     def port(self):
         return EnginePort(
@@ -126,7 +127,8 @@
             self.models[order.model].discard(order.adapter)
             return
         name = f'{order.model}/{order.adapter}'
-        self.pending[name] = self.clock.elapsed() + timedelta(milliseconds=9)
+        load_time = timedelta(seconds=self.adapter_seconds)
+        self.pending[name] = self.clock.elapsed() + load_time
         held = sum(map(len, self.models.values())) + len(self.pending)
         assert held <= 3, 'the engine crashed'
 
--- /dev/null
+++ b/tests/keeper/test_restarting.py
@@ -0,0 +1,68 @@
+"""Engines that restart while their keeper waits for an order."""
+
+from datetime import timedelta
+
+import gevent
+import pytest
+
+from keeper.engines import FakeEngine, make_keeper
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.messages import AdapterAsk, LoadReply, ModelAsk
+
+# A few reads of the engine.
+NOTICED_SECONDS = 0.5
+LOAD_SECONDS = 2.5
+
+
+@pytest.fixture
+def engine():
+    return FakeEngine(SystemClock())
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def keeper(engine, sent):
+    made = make_keeper(engine, engine.clock, sent)
+    made.orders.refresh()
+    return made
+
+
+def await_reply(sent, ask_id, seconds):
+    with gevent.Timeout(seconds, exception=False):
+        while True:
+            for _, message in sent:
+                if isinstance(message, LoadReply) and message.ask_id == ask_id:
+                    return message
+            gevent.sleep(0.01)
+    return None
+
+
+def test_a_load_is_given_up_when_its_engine_restarts(keeper, sent, engine):
+    """Its keeper waited 20 s for it, and loaded nothing else meanwhile."""
+    keeper.receive(b'gateway', ModelAsk('first', 'm1'))
+    gevent.sleep(0.2)
+    assert engine.orders == 1
+    engine.restart()
+    engine.ready_at = timedelta()
+    reply = await_reply(sent, 'first', NOTICED_SECONDS)
+    assert reply is not None
+    assert not reply.in_place
+    keeper.receive(b'gateway', ModelAsk('second', 'm2'))
+    assert await_reply(sent, 'second', LOAD_SECONDS).in_place
+    assert set(engine.models) == {'m2'}
+
+
+def test_an_adapter_is_given_up_when_its_engine_restarts(keeper, sent, engine):
+    keeper.receive(b'gateway', ModelAsk('model', 'm1'))
+    assert await_reply(sent, 'model', LOAD_SECONDS).in_place
+    engine.adapter_seconds = 5
+    keeper.receive(b'gateway', AdapterAsk('adapter', 'm1', 'a1'))
+    gevent.sleep(0.05)
+    engine.restart()
+    reply = await_reply(sent, 'adapter', NOTICED_SECONDS / 2)
+    assert reply is not None
+    assert 'restarted' in reply.cause
