A read that was overtaken is no restart of the engine

Cause: several tasks read the engine at a time. A read that comes back behind a newer one shows fewer orders than known, which counted as a restart.

Change: the engine's id proves a new start, whatever the numbers show.

--- a/libs/keeper/src/verbenamux_keeper/ordering.py
+++ b/libs/keeper/src/verbenamux_keeper/ordering.py
@@ -51,6 +51,7 @@
         self._count = count
         self._note_read = note_read
         self._token: int | None = None
+        self._last_id: str | None = None
         self._starts = 0
 
     def refresh(self) -> EngineState | None:
@@ -65,9 +66,9 @@
             or read.started_ms != known.started_ms
             or read.orders_taken < known.orders_taken
         )
-        self._starts += is_restarted
         if is_restarted or self.target_id is None:
             self.target_id = self._port.identify()
+            self._note_id(self.target_id)
             self._log(
                 'engine_identified',
                 target=self.target_id,
@@ -78,6 +79,17 @@
         self._note_read(read)
         return read
 
+    def _note_id(self, target_id: str | None) -> None:
+        """Count the engine's starts: each has another id.
+
+        The numbers in reports do not prove one, as reads overtake each other.
+        """
+        if target_id is None:
+            return
+        if self._last_id not in {None, target_id}:
+            self._starts += 1
+        self._last_id = target_id
+
     def give(
         self,
         kind: OrderKind,
--- a/tests/keeper/test_restarting.py
+++ b/tests/keeper/test_restarting.py
@@ -1,5 +1,6 @@
 """Engines that restart while their keeper waits for an order."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import gevent
@@ -66,3 +67,16 @@
     reply = await_reply(sent, 'adapter', NOTICED_SECONDS / 2)
     assert reply is not None
     assert 'restarted' in reply.cause
+
+
+def test_a_read_that_was_overtaken_ends_no_load(keeper, sent, engine):
+    """It shows fewer orders than the one before, as a new start does."""
+    before = engine.read()
+    keeper.receive(b'gateway', ModelAsk('ask', 'm1'))
+    gevent.sleep(0.2)
+    assert engine.orders == 1
+    kept = keeper.orders._port
+    keeper.orders._port = replace(kept, read=lambda: before)
+    keeper.orders.refresh()
+    keeper.orders._port = kept
+    assert await_reply(sent, 'ask', LOAD_SECONDS).in_place
