Gateways that restart take their part of the extra repeats as spent

What callers saw: nothing; found by looking for the cause of the loads elsewhere: a process's memory of what it spent ends with it, the rule's window goes on.

Cause: a gateway's part of `budget_extra_retries` was whole again at each start, and without a peer known yet its part is all of it.

Change: one that is not in the first start spends the extra one window behind its start; the part that follows from its own requests goes on at once, as the requests that justified repeats before are forgotten along with these.

--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -60,6 +60,7 @@
     repeat_window: timedelta
     repeat_ratio: float
     repeat_extra: float
+    repeat_extra_from: timedelta
     leaving: LeavingBounds
 
 
@@ -229,6 +230,7 @@
                 self.setup.repeat_window,
                 self.setup.repeat_ratio,
                 0,
+                self.setup.repeat_extra_from,
             )
             self._budget_by_service[service] = budget
         budget.extra = self.setup.repeat_extra / (self.peers.count() + 1)
--- a/libs/relay/src/verbenamux_relay/repeats.py
+++ b/libs/relay/src/verbenamux_relay/repeats.py
@@ -22,9 +22,15 @@
         window: timedelta,
         ratio: float,
         extra: float,
+        extra_from: timedelta = timedelta(),
     ) -> None:
-        """Start empty; `extra` is this gateway's part of the fixed sum."""
+        """Start empty; `extra` is this gateway's part of the fixed sum.
+
+        It may be spent from `extra_from` on: a process before this one may
+        have spent it until a moment before this one's start.
+        """
         self.extra = extra
+        self._extra_from = extra_from
         self._elapsed = elapsed
         self._window = window
         self._ratio = ratio
@@ -37,9 +43,7 @@
 
     def take(self) -> bool:
         """Spend one repeat, if one is left."""
-        self._expire()
-        allowed = self._ratio * len(self._firsts) + self.extra
-        if len(self._repeats) + 1 > allowed * SAFE_PART:
+        if self.left() < 1:
             return False
         self._repeats.append(self._elapsed())
         return True
@@ -47,7 +51,9 @@
     def left(self) -> float:
         """Return how many repeats are left."""
         self._expire()
-        allowed = self._ratio * len(self._firsts) + self.extra
+        is_free = self._elapsed() >= self._extra_from
+        extra = self.extra if is_free else 0
+        allowed = self._ratio * len(self._firsts) + extra
         return allowed * SAFE_PART - len(self._repeats)
 
     def _expire(self) -> None:
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -162,6 +162,7 @@
                 repeat_window=timedelta(seconds=10),
                 repeat_ratio=0.2,
                 repeat_extra=1,
+                repeat_extra_from=timedelta(),
                 leaving=LeavingBounds(drain, timedelta(seconds=3)),
             ),
             self.clock,
