--- a/tests/keeper/test_pacing.py
+++ b/tests/keeper/test_pacing.py
@@ -92,3 +92,50 @@
         assert len(within) <= rate * 5 * 1.1 + 3
     last = clock.elapsed() - timedelta(seconds=55)
     assert sum(start > last for start in starts) > 55 * rate / 3
+
+
+def test_random_parts_keep_the_pace_whatever_is_drawn():
+    """Engines that get less than a load a window load by chance."""
+    rate, targets = 1.4, 40
+    window = timedelta(seconds=5)
+    for seed in range(30):
+        clock = ManualClock()
+        random = Random(seed)
+        paces = [
+            StorePace(
+                clock.elapsed,
+                window,
+                1.1,
+                Random(random.random()),
+                is_first_start=True,
+            )
+            for _ in range(targets)
+        ]
+        starts = []
+        for _ in range(300):
+            clock.advance(timedelta(milliseconds=100))
+            for pace in paces:
+                if pace.is_ready(rate, targets):
+                    pace.note_start()
+                    starts.append(clock.elapsed())
+        for start in starts:
+            within = [at for at in starts if start <= at <= start + window]
+            assert len(within) <= rate * 5 * 1.1 + 3, seed
+
+
+def test_engines_that_all_load_behind_a_calm_keep_the_pace():
+    """Demand moves to other models in many engines at once."""
+    clock = ManualClock()
+    rate, targets = 7.1, 52
+    window = timedelta(seconds=5)
+    paces = [
+        StorePace(
+            clock.elapsed, window, 1.1, Random(number), is_first_start=True
+        )
+        for number in range(targets)
+    ]
+    clock.advance(timedelta(seconds=60))
+    assert (
+        sum(pace.is_ready(rate, targets) for pace in paces)
+        <= rate * 5 * 1.1 + 3
+    )
