Vouch for what a late ask of another gateway finds

The age of the configuration grew to 4.4 s.

Cause: an ask that reached the lead behind the begin of its read was answered by that read with nothing confirmed. The next ask follows the answer, and the lead's pause before a read is 20 ms; with a way or a loop slower than that every ask is late, and the asker is never told that it is up to date.

Change: an answer says how long the ask came behind the begin of the read. The asker takes that off its own time of asking: the ask came no sooner than it was sent, so the read began no sooner than that. A gateway with late asks is as fresh as its lead. `fresh` keeps its meaning for gateways of an older version; their answers lack the new field and confirm as before.

Evidence: test_an_ask_behind_the_pause_is_as_fresh_as_the_read_it_finds fails without the change (known_at None, both cases); it also holds that nothing later than the read is claimed.

--- a/libs/contracts/src/verbenamux_contracts/clock.py
+++ b/libs/contracts/src/verbenamux_contracts/clock.py
@@ -73,3 +73,8 @@
 def to_milliseconds(duration: timedelta) -> int:
     """Return a duration in whole milliseconds, rounded down."""
     return duration // timedelta(milliseconds=1)
+
+
+def to_milliseconds_up(duration: timedelta) -> int:
+    """Return a duration in whole milliseconds, rounded up."""
+    return -(-duration // timedelta(milliseconds=1))
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -461,14 +461,16 @@
 class ReadReply(Message, frozen=True):
     """The records that a read of the store found.
 
-    `found` is false when the read failed or the offset is not kept, `fresh`
-    when the read began before the ask came.
+    `found` is false when the read failed or the offset is not kept. `fresh`
+    is true when the read began after the ask came; `late_ms` is how long
+    before it the read began otherwise, None when that is not known.
     """
 
     ask_id: str
     found: bool
     fresh: bool = False
     records: tuple[bytes, ...] = ()
+    late_ms: int | None = None
 
 
 RelayMessage: TypeAlias = (
--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -4,8 +4,10 @@
 store costs. The first living gateway of a data centre reads; the others ask
 it, and get what its next read finds. If that read began after the ask came,
 the asker may take its own time of asking as the time at which it was up to
-date, however long either gateway was held up. Without an answer a gateway
-reads the store itself.
+date, however long either gateway was held up. If the ask came late, behind
+the begin of the read under way, the answer says by how much, and the asker
+takes that off: on a busy host every ask may be late. Without an answer a
+gateway reads the store itself.
 """
 
 from collections import defaultdict, deque
@@ -15,7 +17,11 @@
 
 from returns.result import Result, Success
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import (
+    Clock,
+    milliseconds,
+    to_milliseconds_up,
+)
 from verbenamux_contracts.ids import new_request_id
 from verbenamux_contracts.log import LogFailure, RecordBatch
 from verbenamux_contracts.messages import ReadAsk, ReadReply
@@ -111,16 +117,21 @@
             self.size -= len(self.records.popleft())
             self.first_offset += 1
 
-    def answer(self, ask: ReadAsk, *, is_fresh: bool) -> ReadReply:
-        """Return what follows an offset, or that it is not kept here."""
+    def answer(self, ask: ReadAsk, late: timedelta | None) -> ReadReply:
+        """Return what follows an offset, or that it is not kept here.
+
+        `late` is how long the ask came behind the begin of the read, None
+        when nothing is known of that.
+        """
         start = ask.from_offset - self.first_offset
         if not 0 <= start <= len(self.records):
             return ReadReply(ask.ask_id, found=False)
         return ReadReply(
             ask.ask_id,
             found=True,
-            fresh=is_fresh,
+            fresh=late is not None and not late,
             records=tuple(self.records)[start:],
+            late_ms=None if late is None else to_milliseconds_up(late),
         )
 
 
@@ -208,7 +219,7 @@
         next_offset = from_offset + len(reply.records)
         return Reading(
             RecordBatch(from_offset, next_offset, reply.records, next_offset),
-            asked_at if reply.fresh else None,
+            _known_at(asked_at, reply),
             link.address,
         )
 
@@ -218,7 +229,7 @@
         found: Result[Reading, LogFailure],
         patience: Patience,
     ) -> None:
-        """Answer all who wait; fresh for those who asked before the read.
+        """Answer all who wait, and tell how far the read vouches for it.
 
         A gateway that was held up behind its read vouches for nothing: the
         store has taken more meanwhile.
@@ -242,9 +253,25 @@
 ) -> ReadReply:
     if reading is None:
         return ReadReply(waiting.ask.ask_id, found=False)
-    known_at = reading.known_at
-    is_fresh = known_at is not None and waiting.came_at <= known_at
-    return topic.answer(waiting.ask, is_fresh=is_fresh)
+    late = (
+        None
+        if reading.known_at is None
+        else max(waiting.came_at - reading.known_at, timedelta())
+    )
+    return topic.answer(waiting.ask, late)
+
+
+def _known_at(asked_at: timedelta, reply: ReadReply) -> timedelta | None:
+    """Return when the records of a reply were the newest, if they were.
+
+    The ask came no sooner than it was sent, so the read that it found under
+    way began no sooner than that less its lateness, both by any clock.
+    """
+    if reply.fresh:
+        return asked_at
+    if reply.late_ms is None:
+        return None
+    return asked_at - milliseconds(reply.late_ms)
 
 
 def read_directly(read_store: ReadTopic, clock: Clock) -> ReadShared:
--- a/tests/relay/test_sharing.py
+++ b/tests/relay/test_sharing.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from returns.result import Failure, Success
 
 from verbenamux_contracts.clock import ManualClock, SystemClock
@@ -121,6 +122,61 @@
     assert not lead.replies[0].fresh
 
 
+class LateLink:
+    """A link whose asks reach the lead while its read is under way.
+
+    `way` is the time of an ask on its way.
+    """
+
+    address = 'lead'
+
+    def __init__(self, lead, clock, way):
+        self.lead = lead
+        self.clock = clock
+        self.way = way
+
+    def ask(self, ask_id, ask, _timeout):
+        self.clock.advance(self.way)
+        self.lead.shared.hear(b'asker', ask)
+        self.lead.goes_on.set()
+        self.lead.reading.join()
+        replies = {reply.ask_id: reply for reply in self.lead.replies}
+        return replies[ask_id]
+
+
+def begin_read(lead):
+    """Let the lead begin a read that ends when it is asked."""
+    lead.goes_on = Event()
+    lead.store.during = lead.goes_on.wait
+    lead.reading = gevent.spawn(lead.shared.read, 't', 0, WAIT)
+    gevent.sleep(0)
+
+
+@pytest.mark.parametrize('part', [0.3, 3.25])
+def test_an_ask_behind_the_pause_is_as_fresh_as_the_read_it_finds(
+    clock,
+    asker,
+    lead,
+    part,
+):
+    """A busy host: each ask comes behind the begin of the lead's read.
+
+    Such an asker was never told that it is up to date, and refused keys.
+    """
+    asker.link = LateLink(lead, clock, TICK * part)
+    for _ in range(3):
+        clock.advance(TICK)
+        begin_read(lead)
+        began_at = clock.elapsed()
+        clock.advance(SECOND / 2)
+        found = asker.shared.read('t', 0, WAIT).unwrap()
+        assert found.known_at is not None
+        # No later than the read, by the way of the ask and a rounding.
+        earliest = began_at - TICK * part - timedelta(milliseconds=1)
+        assert earliest < found.known_at <= began_at - TICK * part
+    assert asker.store.reads == 0
+
+
 def test_what_is_not_fresh_is_known_at_no_time(clock, asker, lead):
     lead.shared.hear = lambda _sender, ask: lead.replies.append(
         ReadReply(ask.ask_id, found=True, records=(b'a',)),
