Confirm nothing by a read that ends short of the newest record

Found by writing the state machine for withdrawn keys: a gateway that was frozen for 8 s used a key 7.03 s behind the store's word, allowed are 5 s.

Cause: the store answers a read with what has room (1 MB). A gateway that was away for long gets old versions first, and took the begin of that read as the moment at which it knew the newest. Until the reads behind it came, all keys of an old version were trusted as just confirmed. Those that ask such a gateway were told the same.

Change: a batch that does not reach the end of the topic is known to be the newest at no time (`RecordBatch.reaches_end` was there and not used here). The same reading goes to askers and to the registry's follower.

Looked for elsewhere: listing takes its offset from the first page and lists all pages before it confirms; the product's own fleet does not share this code.

--- a/libs/relay/src/verbenamux_relay/sharing.py
+++ b/libs/relay/src/verbenamux_relay/sharing.py
@@ -275,7 +275,10 @@
 
 
 def read_directly(read_store: ReadTopic, clock: Clock) -> ReadShared:
-    """Return reads of the store that are shared with nobody."""
+    """Return reads of the store that are shared with nobody.
+
+    A batch that ends short of the newest record was never the newest.
+    """
 
     def read(
         topic: str,
@@ -290,7 +293,12 @@
             patience.wait,
             patience.call_most,
         )
-        return found.map(lambda batch: Reading(batch, began_at)).alt(
+        return found.map(
+            lambda batch: Reading(
+                batch,
+                began_at if batch.reaches_end else None,
+            ),
+        ).alt(
             lambda failure: replace(failure, began_at=began_at),
         )
 
--- a/tests/relay/test_sharing.py
+++ b/tests/relay/test_sharing.py
@@ -30,6 +30,7 @@
         self.records = []
         self.reads = 0
         self.is_down = False
+        self.most = KEPT_RECORDS * 2
         self.during = lambda: None
 
     def read(self, _topic, from_offset, _wait, _call_most=None):
@@ -38,8 +39,9 @@
         if self.is_down:
             return DOWN
         end = len(self.records)
-        bodies = tuple(self.records[from_offset:])
-        return Success(RecordBatch(from_offset, end, bodies, end))
+        bodies = tuple(self.records[from_offset:][: self.most])
+        next_offset = from_offset + len(bodies)
+        return Success(RecordBatch(from_offset, next_offset, bodies, end))
 
 
 class Link:
@@ -177,6 +179,21 @@
     assert asker.store.reads == 0
 
 
+def test_a_read_that_ends_short_of_the_newest_vouches_for_nothing(
+    asker,
+    lead,
+):
+    """A gateway was away for long: the store's answer has room for a part.
+
+    Keys that the records behind it withdraw were trusted as just confirmed.
+    """
+    lead.store.most = 1
+    assert lead.shared.read('t', 0, WAIT).unwrap().known_at is None
+    found = asker.shared.read('t', 0, WAIT).unwrap()
+    assert found.batch.bodies == (b'a',)
+    assert found.known_at is None
+
+
 def test_what_is_not_fresh_is_known_at_no_time(clock, asker, lead):
     lead.shared.hear = lambda _sender, ask: lead.replies.append(
         ReadReply(ask.ask_id, found=True, records=(b'a',)),
