Count a run from the first byte sent, not from the choice of a target

What callers saw: a request that a stopping gateway interrupted while it opened a connection to a target got a 502, which promises nothing, though nothing was sent. Its caller may not repeat what may run once only. A defect of the gateway before the first byte was told the same way. A defect behind the first byte was told as 502, but counted as no run, so the workspace's limit was given back for work that may have been done. A caller that left while the connection was opened was charged for what never ran. A request whose headers could not be worded left its connection open.

Cause: the stage was "waiting for head" from the choice of a target on, and whether something may have run was guessed afterwards in three ways: from the stage (_explain_stop, which also changed the counts), from the time of the choice (_explain_error) and from the outcome's name (settle).

Change: a stage "connecting"; a job counts its send and its run right before the first byte (Job.note_sent) and takes the run back only upon the target's proof (Job.note_not_run). Refusals and the workspace's account read that one count. `runs` of request_ended now counts the run of a delivered answer as well; verbenamuxctl says "may have run" instead of "may have run in vain".

Ruled out: taking "not executed" from a failed connect alone: it tells nothing of a defect or an interrupt in that stage.

--- a/libs/ctl/src/verbenamux_ctl/explaining.py
+++ b/libs/ctl/src/verbenamux_ctl/explaining.py
@@ -109,7 +109,7 @@
         f'{line["model"].strip("/") or "no model"} ended as '
         f'{line["outcome"]}{_because(line["cause"])} after '
         f'{line["total_ms"]} ms: {line["sends"]} sends reached a target, '
-        f'{line["runs"]} may have run in vain, {line["events"]} events went '
+        f'{line["runs"]} may have run, {line["events"]} events went '
         f'to the caller; first send after {line["wait_ms"]} ms; '
         f'configuration {line["catalog_version"]}, confirmed '
         f'{line["catalog_age_ms"]} ms before the end'
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -20,6 +20,7 @@
     CHOOSING = 'choosing'
     MODEL = 'waiting_for_model'
     ADAPTER = 'waiting_for_adapter'
+    CONNECTING = 'connecting'
     HEAD = 'waiting_for_head'
     STREAM = 'streaming'
 
@@ -29,8 +30,9 @@
     """A request with its terms; times are monotonic.
 
     `expected_at` is when a model that is being loaded should be in place.
-    `sends` counts the sends that reached a target, `runs` those that may
-    have run there. `cause` names the last failure.
+    `sends` counts the sends that may have reached a target, `runs` those of
+    them that may have run there: all without proof that they did not.
+    `cause` names the last failure.
     """
 
     request: Request
@@ -64,6 +66,16 @@
         # A step that raises keeps its stage: it tells where the job ended.
         self.stage = Stage.CHOOSING
 
+    def note_sent(self) -> None:
+        """Count a send from before its first byte: it may run from then."""
+        self.stage = Stage.HEAD
+        self.sends += 1
+        self.runs += 1
+
+    def note_not_run(self) -> None:
+        """Take the run of the last send back: the target proved it away."""
+        self.runs -= 1
+
     def time_left(self, now: timedelta) -> timedelta:
         """Return the time until the deadline."""
         return self.deadline - now
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -169,9 +169,6 @@
 
 def _explain_stop(job: Job, cause: str) -> RequestRefusedError:
     """Word the end of an open request; what was sent may have run."""
-    if job.stage is Stage.HEAD:
-        job.sends += 1
-        job.runs += 1
     if job.runs:
         return RequestRefusedError(BAD_GATEWAY, cause)
     return RequestRefusedError(UNAVAILABLE, cause, ELSEWHERE_TIME)
@@ -193,7 +190,7 @@
         request_id=job.terms.request_id,
         cause=repr(error),
     )
-    status = UNAVAILABLE if job.sent_at is None else BAD_GATEWAY
+    status = BAD_GATEWAY if job.runs else UNAVAILABLE
     return RequestRefusedError(status, 'internal error', NEWS_TIME)
 
 
@@ -380,7 +377,7 @@
         has_other=partial(_has_other, job, target, tools),
     )
     with (
-        job.waiting_for(Stage.HEAD),
+        job.waiting_for(Stage.CONNECTING),
         _counted(target, in_flight, tools.sequence),
     ):
         outcome = send(sent)
@@ -422,8 +419,8 @@
     target_id = target.entry.target_id
     job.steps.append(f'{target_id}: {outcome.ending.value} {outcome.cause}')
     tools.settling.metrics.count('sends_total', ending=outcome.ending.value)
-    job.sends += outcome.arrived
-    job.runs += outcome.ending not in {Ending.NOT_RUN, Ending.DELIVERED}
+    if outcome.ending is Ending.NOT_RUN and outcome.arrived:
+        job.note_not_run()
     if outcome.ending is Ending.DELIVERED:
         target.note_success(tools.now())
         return
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -143,7 +143,7 @@
         connection.close()
         return Outcome(Ending.NOT_RUN, 'the target leaves', arrived=False)
     try:
-        exchange = connection.start(_outgoing(sent), sent.time_left())
+        exchange = _start(sent, connection)
     except ExchangeFailure as failure:
         return _classify(failure)
     try:
@@ -162,6 +162,17 @@
     )
 
 
+def _start(sent: Send, connection: Connection) -> Exchange:
+    """Send the request; raises ExchangeFailure."""
+    try:
+        outgoing = _outgoing(sent)
+    except BaseException:
+        connection.close()
+        raise
+    sent.job.note_sent()
+    return connection.start(outgoing, sent.time_left())
+
+
 def _outgoing(sent: Send) -> Outgoing:
     job = sent.job
     request = job.request
@@ -307,7 +318,7 @@
     """Return how long to wait on, after a wait for news since then."""
     route = sent.job.route
     left = sent.time_left()
-    if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
+    if not route.is_repeatable or sent.job.runs >= route.attempts_most:
         return left
     patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
     if sent.in_flight.is_started:
--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -23,8 +23,6 @@
 UNAVAILABLE = 503
 # When a route, key or target that this gateway does not know may be there.
 NEWS_TIME = timedelta(milliseconds=300)
-# Endings after which a workspace's limit stays charged.
-CHARGED_ENDINGS = frozenset(('delivered', 'broken_off', 'caller_gone'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,8 +152,7 @@
 
 def settle(job: Job, outcome: str, tools: SettleTools) -> None:
     """Account for a request that ended, and log how."""
-    has_run = bool(job.runs) or outcome in CHARGED_ENDINGS
-    if job.workspace is not None and not has_run:
+    if job.workspace is not None and not job.runs:
         tools.allowance.refund(job.workspace, job.charged)
     now = tools.clock.elapsed()
     tools.metrics.count(
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -3,6 +3,7 @@
 import contextlib
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -17,6 +18,7 @@
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 from verbenamux_platform.dialect import platform_dialect
+from verbenamux_relay import relaying, sending
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import (
     Catalog,
@@ -624,6 +626,91 @@
     assert reply.is_complete
 
 
+def defect(*_given):
+    raise LookupError('a defect')
+
+
+def connecting(monkeypatch, kind, while_connecting):
+    """Return a world whose targets take no connection at once."""
+    world = World(FakeTarget(DONE), kind=kind)
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 10, 10)
+
+    def take(_pool, _address, *_limits):
+        while_connecting()
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+    return world
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_stop_while_a_connection_is_opened_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    """It was told 502; a caller may not repeat what runs once only then."""
+    world = connecting(monkeypatch, kind, partial(gevent.sleep, 9))
+    reply = interrupted(world)
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.lines[-1][1]['stage'] == 'connecting'
+    assert not world.lines[-1][1]['sends']
+    assert not world.allowance.spent_by_workspace['w']
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_before_the_first_byte_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    world = connecting(monkeypatch, kind, defect)
+    assert world.ask().status == 503
+    assert not world.allowance.spent_by_workspace['w']
+
+
+def test_a_defect_in_wording_a_request_closes_the_connection(monkeypatch):
+    """It is told 503 as nothing went out, and no connection stays open."""
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    take = ConnectionPool.take
+    taken = []
+
+    def note(pool, *limits):
+        taken.append(take(pool, *limits))
+        return taken[-1]
+
+    monkeypatch.setattr(ConnectionPool, 'take', note)
+    monkeypatch.setattr(sending, '_outgoing', defect)
+    assert world.ask().status == 503
+    assert not taken[0].is_quiet()
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_behind_the_first_byte_may_have_run(monkeypatch, kind):
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(sending, '_follow', defect)
+    assert world.ask().status == 502
+    assert world.lines[-1][1]['runs'] == 1
+
+
+def test_a_defect_in_passing_an_answer_on_may_have_run(monkeypatch):
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    monkeypatch.setattr(relaying, 'deliver', defect)
+    assert world.ask().status == 502
+
+
+def test_a_caller_that_leaves_while_a_connection_is_opened_is_not_charged(
+    monkeypatch,
+):
+    world = connecting(
+        monkeypatch,
+        RouteKind.NON_IDEMPOTENT,
+        partial(gevent.sleep, 9),
+    )
+    task = gevent.spawn(world.ask)
+    gevent.sleep(0.1)
+    task.kill(CallerGone('closed'))
+    assert not world.allowance.spent_by_workspace['w']
+
+
 def test_a_stop_refuses_what_waits_for_an_adapter():
     """It has not run, and another gateway may take it at once."""
     world = World(FakeTarget(DONE))
