Refuse a request that no target takes a connection for in time, at once

Cause: a request that has not run may be sent to one target after another for as long as its caller stays, and each connection may take 400 ms. Nothing bounds their sum.

Change: behind a second connection that takes too long no further one is tried for a request that has not run; it is refused as not run and may go to another gateway. One that may have run goes on as before, as it can't be told that. A target that turns connections away at once costs no time and doesn't count. The refusal names the connections: "all targets are behind" was said of any request that was given up with a target left to try.

Ruled out: bounding what the gateway itself writes.

--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -32,6 +32,7 @@
     `expected_at` is when a model that is being loaded should be in place.
     `sends` counts the sends that may have reached a target, `runs` those of
     them that may have run there: all without proof that they did not.
+    `connecting` is the time that was spent on connections that failed.
     `cause` names the last failure.
     """
 
@@ -47,6 +48,7 @@
     charged: float = 0
     sends: int = 0
     runs: int = 0
+    connecting: timedelta = timedelta()
     excluded: set[str] = field(default_factory=set)
     last_event_id: str | None = None
     events: int = 0
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -29,6 +29,7 @@
 from verbenamux_relay.picking import Beliefs, Lack, Query, pick
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.sending import (
+    CONNECTING_MOST,
     Ending,
     Outcome,
     Send,
@@ -214,6 +215,9 @@
     if not tools.stop.may_send(tools.now()):
         job.steps.append(STOPPING)
         return False
+    if not job.runs and job.connecting >= CONNECTING_MOST:
+        job.steps.append('no time left for connections')
+        return False
     if not job.sends or tools.budget_of(job.service.name).take():
         return True
     job.steps.append('no repeat left in the budget')
@@ -479,7 +483,8 @@
     elif last is not None and last.answer is not None:
         deliver(job, last.answer, tools.settling)
     else:
-        raise _explain(job, choice.option, tools)
+        is_behind = choice.target is None
+        raise _explain(job, choice.option if is_behind else None, tools)
 
 
 def _explain(
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -24,6 +24,10 @@
 
 # How long a new connection may take before another target is tried.
 CONNECT_MOST = timedelta(milliseconds=400)
+# After so long in all no further connection is tried for a request that has not
+# run: where a second target takes none in time either, the fault is more likely
+# on this host's side, and another gateway may still reach them.
+CONNECTING_MOST = CONNECT_MOST * 1.5
 # Requests that may run only once go on connections idle for less than this.
 FRESH_IDLE = timedelta(milliseconds=500)
 # A repeatable request waits for an answer this many objectives at most.
@@ -129,9 +133,11 @@
     Raises CallerGone; the target's connection is closed then, which tells
     the target to stop.
     """
+    began = sent.tools.clock.elapsed()
     try:
         connection = _connect(sent)
     except ExchangeFailure as failure:
+        sent.job.connecting += sent.tools.clock.elapsed() - began
         return Outcome(
             Ending.NOT_RUN,
             failure.message,
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -14,7 +14,12 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_http.client import BodyRoom, ConnectionPool
-from verbenamux_http.errors import CallerGone, ListenerStopping
+from verbenamux_http.errors import (
+    CallerGone,
+    ExchangeFailure,
+    Fault,
+    ListenerStopping,
+)
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 from verbenamux_platform.dialect import platform_dialect
@@ -38,7 +43,12 @@
 from verbenamux_relay.prompts import PromptMemory
 from verbenamux_relay.relaying import RelayTools, relay
 from verbenamux_relay.repeats import RepeatBudget
-from verbenamux_relay.sending import GAP_PATIENCE, SendTools
+from verbenamux_relay.sending import (
+    CONNECT_MOST,
+    CONNECTING_MOST,
+    GAP_PATIENCE,
+    SendTools,
+)
 from verbenamux_relay.settling import Knowledge, SettleTools
 from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.targets import (
@@ -711,6 +721,43 @@
     assert not world.allowance.spent_by_workspace['w']
 
 
+def unreachable(monkeypatch, how_long):
+    """Have no target take a connection, after a while or at once."""
+
+    def take(_pool, _address, most, *_limits):
+        gevent.sleep(min(how_long, most).total_seconds())
+        raise ExchangeFailure(Fault.UNSENT, 'no connection')
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_is_not_held_for_one_slow_connection_after_another(
+    monkeypatch,
+    kind,
+):
+    """A full link of the gateway's own had eight targets tried in turn."""
+    world = World(*(FakeTarget(DONE) for _ in range(8)), kind=kind)
+    world.route = replace(world.route, timeout=SECOND * 3)
+    unreachable(monkeypatch, SECOND)
+    began = world.clock.elapsed()
+    reply = world.ask({'Deadline-Ms': '3000'})
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.clock.elapsed() - began < CONNECTING_MOST + CONNECT_MOST
+    assert b'no connection' in reply.body
+
+
+def test_targets_that_turn_connections_away_at_once_are_all_tried(
+    monkeypatch,
+):
+    world = World(*(FakeTarget(DONE) for _ in range(8)))
+    unreachable(monkeypatch, timedelta())
+    assert world.ask().status == 503
+    failed = [event for event, _ in world.lines if event == 'target_failed']
+    assert len(failed) == 8
+
+
 def test_a_stop_refuses_what_waits_for_an_adapter():
     """It has not run, and another gateway may take it at once."""
     world = World(FakeTarget(DONE))
