--- a/libs/relay/src/verbenamux_relay/settling.py
+++ b/libs/relay/src/verbenamux_relay/settling.py
@@ -183,6 +183,7 @@
         wait_ms=to_milliseconds((job.sent_at or now) - job.arrived_at),
         first_event_ms=to_milliseconds((first_at or now) - job.arrived_at),
         total_ms=to_milliseconds(now - job.arrived_at),
+        left_ms=to_milliseconds(job.time_left(now)),
         catalog_version=job.catalog.version,
         catalog_age_ms=to_milliseconds(known.confirmed_for),
     )
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -1000,6 +1000,16 @@
     assert world.lines[-1][1]['runs'] == 1
 
 
+def test_a_stream_cut_at_its_deadline_is_told_from_one_cut_before():
+    """Only the first is allowed, and the logs of a day showed no difference."""
+    world = World(FakeTarget([STREAM_HEAD, event(1), b'']))
+    world.route = replace(world.route, kind=RouteKind.STREAMING)
+    world.ask({'Deadline-Ms': '300'})
+    told = world.lines[-1][1]
+    assert told['outcome'] == 'broken_off'
+    assert told['left_ms'] <= 0
+
+
 def test_a_stop_is_named_where_it_is_the_cause():
     world = World(FakeTarget(DONE))
     tools = world.tools()
