Send nothing when the time ran out while a target was chosen

Cause: the time left is looked at when a target is chosen, and again as the connection is opened; in between it may run out, and a socket takes no time-out below zero. As old as the connecting itself.

Change: a send without time left is no send and says nothing of its target; opening a connection without time is UNSENT, for all who call it.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -114,6 +114,8 @@
     tools: ReadTools,
 ) -> 'Connection':
     """Open a connection; raises ExchangeFailure, with nothing sent."""
+    if timeout <= timedelta():
+        raise ExchangeFailure(Fault.UNSENT, 'no time left to connect')
     opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         _establish(opened, address, timeout)
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -133,6 +133,9 @@
     Raises CallerGone; the target's connection is closed then, which tells
     the target to stop.
     """
+    if sent.time_left() <= timedelta():
+        # To choose a target takes time: what this says of it is nothing.
+        return Outcome(Ending.NOT_RUN, 'no time left to send', arrived=False)
     began = sent.tools.clock.elapsed()
     try:
         connection = _connect(sent)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -142,6 +142,14 @@
     assert raised.value.fault is Fault.TIMED_OUT
 
 
+@pytest.mark.parametrize('late_ms', [0, 1])
+def test_no_time_left_to_connect_means_nothing_was_sent(pool, late_ms):
+    """A socket takes no time-out below zero: that was a ValueError."""
+    with pytest.raises(ExchangeFailure) as raised:
+        pool.take(('127.0.0.1', 9), timedelta(milliseconds=-late_ms))
+    assert raised.value.fault is Fault.UNSENT
+
+
 def test_nobody_there_means_nothing_was_sent(pool):
     with socket.socket() as unused:
         unused.bind(('127.0.0.1', 0))
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -748,6 +748,24 @@
     assert b'no connection' in reply.body
 
 
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_out_of_time_before_its_send_blames_no_target(
+    monkeypatch,
+    kind,
+):
+    """A time-out below zero was a defect, told as an internal error."""
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(
+        relaying,
+        'check_key',
+        lambda *_known: gevent.sleep(0.2),
+    )
+    reply = world.ask({'Deadline-Ms': '150'})
+    assert reply.status == 503
+    assert [event for event, _ in world.lines] == ['request_ended']
+    assert not world.sent()
+
+
 def test_targets_that_turn_connections_away_at_once_are_all_tried(
     monkeypatch,
 ):
