--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -29,6 +29,7 @@
 from verbenamux_relay.picking import Beliefs, Lack, Query, pick
 from verbenamux_relay.repeats import RepeatBudget
 from verbenamux_relay.sending import (
+    CONNECTING_MOST,
     Ending,
     Outcome,
     Send,
@@ -169,9 +170,6 @@
 
 def _explain_stop(job: Job, cause: str) -> RequestRefusedError:
     """Word the end of an open request; what was sent may have run."""
-    if job.stage is Stage.HEAD:
-        job.sends += 1
-        job.runs += 1
     if job.runs:
         return RequestRefusedError(BAD_GATEWAY, cause)
     return RequestRefusedError(UNAVAILABLE, cause, ELSEWHERE_TIME)
@@ -193,7 +191,7 @@
         request_id=job.terms.request_id,
         cause=repr(error),
     )
-    status = UNAVAILABLE if job.sent_at is None else BAD_GATEWAY
+    status = BAD_GATEWAY if job.runs else UNAVAILABLE
     return RequestRefusedError(status, 'internal error', NEWS_TIME)
 
 
@@ -217,6 +215,9 @@
     if not tools.stop.may_send(tools.now()):
         job.steps.append(STOPPING)
         return False
+    if not job.runs and job.connecting >= CONNECTING_MOST:
+        job.steps.append('no time left for connections')
+        return False
     if not job.sends or tools.budget_of(job.service.name).take():
         return True
     job.steps.append('no repeat left in the budget')
@@ -382,7 +383,7 @@
         has_other=partial(_has_other, job, target, tools),
     )
     with (
-        job.waiting_for(Stage.HEAD),
+        job.waiting_for(Stage.CONNECTING),
         _counted(target, in_flight, tools.sequence),
     ):
         outcome = send(sent)
@@ -424,8 +425,8 @@
     target_id = target.entry.target_id
     job.steps.append(f'{target_id}: {outcome.ending.value} {outcome.cause}')
     tools.settling.metrics.count('sends_total', ending=outcome.ending.value)
-    job.sends += outcome.arrived
-    job.runs += outcome.ending not in {Ending.NOT_RUN, Ending.DELIVERED}
+    if outcome.ending is Ending.NOT_RUN and outcome.arrived:
+        job.note_not_run()
     if outcome.ending is Ending.DELIVERED:
         target.note_success(tools.now())
         return
@@ -484,7 +485,8 @@
     elif last is not None and last.answer is not None:
         deliver(job, last.answer, tools.settling)
     else:
-        raise _explain(job, choice.option, tools)
+        is_behind = choice.target is None
+        raise _explain(job, choice.option if is_behind else None, tools)
 
 
 def _explain(
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -24,6 +24,10 @@
 
 # How long a new connection may take before another target is tried.
 CONNECT_MOST = timedelta(milliseconds=400)
+# After so long in all no further connection is tried for a request that has not
+# run: where a second target takes none in time either, the fault is more likely
+# on this host's side, and another gateway may still reach them.
+CONNECTING_MOST = CONNECT_MOST * 1.5
 # Requests that may run only once go on connections idle for less than this.
 FRESH_IDLE = timedelta(milliseconds=500)
 # A repeatable request waits for an answer this many objectives at most.
@@ -130,9 +134,14 @@
     the target to stop. Nothing is sent for a caller that has left.
     """
     sent.job.reply.check_wanted()
+    if sent.time_left() <= timedelta():
+        # To choose a target takes time: what this says of it is nothing.
+        return Outcome(Ending.NOT_RUN, 'no time left to send', arrived=False)
+    began = sent.tools.clock.elapsed()
     try:
         connection = _connect(sent)
     except ExchangeFailure as failure:
+        sent.job.connecting += sent.tools.clock.elapsed() - began
         return Outcome(
             Ending.NOT_RUN,
             failure.message,
@@ -144,7 +153,7 @@
         connection.close()
         return Outcome(Ending.NOT_RUN, 'the target leaves', arrived=False)
     try:
-        exchange = connection.start(_outgoing(sent), sent.time_left())
+        exchange = _start(sent, connection)
     except ExchangeFailure as failure:
         return _classify(failure)
     try:
@@ -163,6 +172,17 @@
     )
 
 
+def _start(sent: Send, connection: Connection) -> Exchange:
+    """Send the request; raises ExchangeFailure."""
+    try:
+        outgoing = _outgoing(sent)
+    except BaseException:
+        connection.close()
+        raise
+    sent.job.note_sent()
+    return connection.start(outgoing, sent.time_left())
+
+
 def _outgoing(sent: Send) -> Outgoing:
     job = sent.job
     request = job.request
@@ -308,7 +328,7 @@
     """Return how long to wait on, after a wait for news since then."""
     route = sent.job.route
     left = sent.time_left()
-    if not route.is_repeatable or sent.job.runs + 1 >= route.attempts_most:
+    if not route.is_repeatable or sent.job.runs >= route.attempts_most:
         return left
     patience = max(route.objective * PATIENCE_FACTOR, PATIENCE_LEAST)
     if sent.in_flight.is_started:
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -3,6 +3,7 @@
 import contextlib
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -13,10 +14,16 @@
 
 from verbenamux_contracts.clock import SystemClock
 from verbenamux_http.client import BodyRoom, ConnectionPool
-from verbenamux_http.errors import CallerGone, ListenerStopping
+from verbenamux_http.errors import (
+    CallerGone,
+    ExchangeFailure,
+    Fault,
+    ListenerStopping,
+)
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 from verbenamux_platform.dialect import platform_dialect
+from verbenamux_relay import relaying, sending
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.catalog import (
     Catalog,
@@ -36,7 +43,12 @@
 from verbenamux_relay.prompts import PromptMemory
 from verbenamux_relay.relaying import RelayTools, relay
 from verbenamux_relay.repeats import RepeatBudget
-from verbenamux_relay.sending import GAP_PATIENCE, SendTools
+from verbenamux_relay.sending import (
+    CONNECT_MOST,
+    CONNECTING_MOST,
+    GAP_PATIENCE,
+    SendTools,
+)
 from verbenamux_relay.settling import Knowledge, SettleTools
 from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.targets import (
@@ -627,6 +639,146 @@
     assert reply.is_complete
 
 
+def defect(*_given):
+    raise LookupError('a defect')
+
+
+def connecting(monkeypatch, kind, while_connecting):
+    """Return a world whose targets take no connection at once."""
+    world = World(FakeTarget(DONE), kind=kind)
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 10, 10)
+
+    def take(_pool, _address, *_limits):
+        while_connecting()
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+    return world
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_stop_while_a_connection_is_opened_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    """It was told 502; a caller may not repeat what runs once only then."""
+    world = connecting(monkeypatch, kind, partial(gevent.sleep, 9))
+    reply = interrupted(world)
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.lines[-1][1]['stage'] == 'connecting'
+    assert not world.lines[-1][1]['sends']
+    assert not world.allowance.spent_by_workspace['w']
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_before_the_first_byte_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    world = connecting(monkeypatch, kind, defect)
+    assert world.ask().status == 503
+    assert not world.allowance.spent_by_workspace['w']
+
+
+def test_a_defect_in_wording_a_request_closes_the_connection(monkeypatch):
+    """It is told 503 as nothing went out, and no connection stays open."""
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    take = ConnectionPool.take
+    taken = []
+
+    def note(pool, *limits):
+        taken.append(take(pool, *limits))
+        return taken[-1]
+
+    monkeypatch.setattr(ConnectionPool, 'take', note)
+    monkeypatch.setattr(sending, '_outgoing', defect)
+    assert world.ask().status == 503
+    assert not taken[0].is_quiet()
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_behind_the_first_byte_may_have_run(monkeypatch, kind):
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(sending, '_follow', defect)
+    assert world.ask().status == 502
+    assert world.lines[-1][1]['runs'] == 1
+
+
+def test_a_defect_in_passing_an_answer_on_may_have_run(monkeypatch):
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    monkeypatch.setattr(relaying, 'deliver', defect)
+    assert world.ask().status == 502
+
+
+def test_a_caller_that_leaves_while_a_connection_is_opened_is_not_charged(
+    monkeypatch,
+):
+    world = connecting(
+        monkeypatch,
+        RouteKind.NON_IDEMPOTENT,
+        partial(gevent.sleep, 9),
+    )
+    task = gevent.spawn(world.ask)
+    gevent.sleep(0.1)
+    task.kill(CallerGone('closed'))
+    assert not world.allowance.spent_by_workspace['w']
+
+
+def unreachable(monkeypatch, how_long):
+    """Have no target take a connection, after a while or at once."""
+
+    def take(_pool, _address, most, *_limits):
+        gevent.sleep(min(how_long, most).total_seconds())
+        raise ExchangeFailure(Fault.UNSENT, 'no connection')
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_is_not_held_for_one_slow_connection_after_another(
+    monkeypatch,
+    kind,
+):
+    """A full link of the gateway's own had eight targets tried in turn."""
+    world = World(*(FakeTarget(DONE) for _ in range(8)), kind=kind)
+    world.route = replace(world.route, timeout=SECOND * 3)
+    unreachable(monkeypatch, SECOND)
+    began = world.clock.elapsed()
+    reply = world.ask({'Deadline-Ms': '3000'})
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.clock.elapsed() - began < CONNECTING_MOST + CONNECT_MOST
+    assert b'no connection' in reply.body
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_out_of_time_before_its_send_blames_no_target(
+    monkeypatch,
+    kind,
+):
+    """A time-out below zero was a defect, told as an internal error."""
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(
+        relaying,
+        'check_key',
+        lambda *_known: gevent.sleep(0.2),
+    )
+    reply = world.ask({'Deadline-Ms': '150'})
+    assert reply.status == 503
+    assert [event for event, _ in world.lines] == ['request_ended']
+    assert not world.sent()
+
+
+def test_targets_that_turn_connections_away_at_once_are_all_tried(
+    monkeypatch,
+):
+    world = World(*(FakeTarget(DONE) for _ in range(8)))
+    unreachable(monkeypatch, timedelta())
+    assert world.ask().status == 503
+    failed = [event for event, _ in world.lines if event == 'target_failed']
+    assert len(failed) == 8
+
+
 def test_a_stop_refuses_what_waits_for_an_adapter():
     """It has not run, and another gateway may take it at once."""
     world = World(FakeTarget(DONE))
@@ -869,6 +1021,16 @@
     assert world.lines[-1][1]['runs'] == 1
 
 
+def test_a_stream_cut_at_its_deadline_is_told_from_one_cut_before():
+    """Only the first is allowed, and the logs of a day showed no difference."""
+    world = World(FakeTarget([STREAM_HEAD, event(1), b'']))
+    world.route = replace(world.route, kind=RouteKind.STREAMING)
+    world.ask({'Deadline-Ms': '300'})
+    told = world.lines[-1][1]
+    assert told['outcome'] == 'broken_off'
+    assert told['left_ms'] <= 0
+
+
 def test_a_stop_is_named_where_it_is_the_cause():
     world = World(FakeTarget(DONE))
     tools = world.tools()
