--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -204,7 +204,7 @@
     assert settings.key_trust == timedelta(seconds=4.4)
     assert settings.engine is None
     assert not settings.is_first_start
-    path.write_text(f'{SETTINGS}bootstrap: true')
+    path.write_text(SETTINGS.replace('{', '{"bootstrap": true,', 1))
     assert read_process_settings(path).unwrap().is_first_start
 
 
--- a/tests/relay/test_loading.py
+++ b/tests/relay/test_loading.py
@@ -21,6 +21,8 @@
 # How soon a wait ends once it is known that nobody replies.
 NOTICED = (WATCH_PERIOD * 1.4).total_seconds()
 ORDER_LEFT = timedelta(seconds=4)
+# The caller stays longer than its ask may take.
+WAIT_MOST = timedelta(minutes=1)
 
 
 class Link:
@@ -65,7 +67,12 @@
             move = Move('engine', 'm', (), timedelta(seconds=4))
             return gevent.spawn(self.loader.carry_out, move)
         return gevent.spawn(
-            self.loader.load_adapter, self.target, 'm', 'a', ORDER_LEFT
+            self.loader.load_adapter,
+            self.target,
+            'm',
+            'a',
+            ORDER_LEFT,
+            WAIT_MOST,
         )
 
     def leave(self):
--- a/tests/trust/simulating.py
+++ b/tests/trust/simulating.py
@@ -170,6 +170,7 @@
                 repeat_window=10 * SECOND,
                 repeat_ratio=0.2,
                 repeat_extra=1,
+                repeat_extra_from=timedelta(),
                 leaving=LeavingBounds(2 * SECOND, 3 * SECOND),
             ),
             self,
