--- /dev/null
+++ b/tests/platform/test_relaying_ends.py
@@ -0,0 +1,380 @@
+"""Requests that a stop, a defect, time or their caller ends."""
+
+from dataclasses import replace
+from datetime import timedelta
+from functools import partial
+
+import gevent
+import pytest
+
+from relay.world import (
+    DONE,
+    ENGINE,
+    FULL,
+    SECOND,
+    STREAM_HEAD,
+    FakeTarget,
+    World,
+    event,
+)
+from verbenamux_http.client import ConnectionPool
+from verbenamux_http.errors import (
+    CallerGone,
+    ExchangeFailure,
+    Fault,
+    ListenerStopping,
+)
+from verbenamux_relay import relaying, sending
+from verbenamux_relay.catalog import RouteKind, Service, Workspace
+from verbenamux_relay.sending import CONNECT_MOST, CONNECTING_MOST
+from verbenamux_relay.targets import TargetReport
+
+
+class StuckLink:
+    """A link to a keeper that gives no answer."""
+
+    def ask(self, _ask_id, _message, _timeout):
+        gevent.sleep(9)
+
+
+def interrupted(world, **asked):
+    """Ask, and interrupt the request while it is open."""
+    task = gevent.spawn(world.ask, **asked)
+    gevent.sleep(0.1)
+    task.kill(ListenerStopping('stopping'), block=False)
+    return task.get(timeout=1)
+
+
+def silent(kind):
+    return World(FakeTarget([b'']), kind=kind)
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_sent_request_is_never_said_not_to_have_run_by_a_stop(kind):
+    reply = interrupted(silent(kind))
+    assert reply.status == 502
+    assert reply.is_complete
+
+
+def defect(*_given):
+    raise LookupError('a defect')
+
+
+def connecting(monkeypatch, kind, while_connecting):
+    """Return a world whose targets take no connection at once."""
+    world = World(FakeTarget(DONE), kind=kind)
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 10, 10)
+
+    def take(_pool, _address, *_limits):
+        while_connecting()
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+    return world
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_stop_while_a_connection_is_opened_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    """It was told 502; a caller may not repeat what runs once only then."""
+    world = connecting(monkeypatch, kind, partial(gevent.sleep, 9))
+    reply = interrupted(world)
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.lines[-1][1]['stage'] == 'connecting'
+    assert not world.lines[-1][1]['sends']
+    assert not world.allowance.spent_by_workspace['w']
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_before_the_first_byte_is_known_not_to_have_run(
+    monkeypatch,
+    kind,
+):
+    world = connecting(monkeypatch, kind, defect)
+    assert world.ask().status == 503
+    assert not world.allowance.spent_by_workspace['w']
+
+
+def test_a_defect_in_wording_a_request_closes_the_connection(monkeypatch):
+    """It is told 503 as nothing went out, and no connection stays open."""
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    take = ConnectionPool.take
+    taken = []
+
+    def note(pool, *limits):
+        taken.append(take(pool, *limits))
+        return taken[-1]
+
+    monkeypatch.setattr(ConnectionPool, 'take', note)
+    monkeypatch.setattr(sending, '_outgoing', defect)
+    assert world.ask().status == 503
+    assert not taken[0].is_quiet()
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_defect_behind_the_first_byte_may_have_run(monkeypatch, kind):
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(sending, '_follow', defect)
+    assert world.ask().status == 502
+    assert world.lines[-1][1]['runs'] == 1
+
+
+def test_a_defect_in_passing_an_answer_on_may_have_run(monkeypatch):
+    world = World(FakeTarget(DONE), kind=RouteKind.NON_IDEMPOTENT)
+    monkeypatch.setattr(relaying, 'deliver', defect)
+    assert world.ask().status == 502
+
+
+def test_a_caller_that_leaves_while_a_connection_is_opened_is_not_charged(
+    monkeypatch,
+):
+    world = connecting(
+        monkeypatch,
+        RouteKind.NON_IDEMPOTENT,
+        partial(gevent.sleep, 9),
+    )
+    task = gevent.spawn(world.ask)
+    gevent.sleep(0.1)
+    task.kill(CallerGone('closed'))
+    assert not world.allowance.spent_by_workspace['w']
+
+
+def unreachable(monkeypatch, how_long):
+    """Have no target take a connection, after a while or at once."""
+
+    def take(_pool, _address, most, *_limits):
+        gevent.sleep(min(how_long, most).total_seconds())
+        raise ExchangeFailure(Fault.UNSENT, 'no connection')
+
+    monkeypatch.setattr(ConnectionPool, 'take', take)
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_is_not_held_for_one_slow_connection_after_another(
+    monkeypatch,
+    kind,
+):
+    """A full link of the gateway's own had eight targets tried in turn."""
+    world = World(*(FakeTarget(DONE) for _ in range(8)), kind=kind)
+    world.route = replace(world.route, timeout=SECOND * 3)
+    unreachable(monkeypatch, SECOND)
+    began = world.clock.elapsed()
+    reply = world.ask({'Deadline-Ms': '3000'})
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert world.clock.elapsed() - began < CONNECTING_MOST + CONNECT_MOST
+    assert b'no connection' in reply.body
+
+
+@pytest.mark.parametrize('kind', RouteKind)
+def test_a_request_out_of_time_before_its_send_blames_no_target(
+    monkeypatch,
+    kind,
+):
+    """A time-out below zero was a defect, told as an internal error."""
+    world = World(FakeTarget(DONE), kind=kind)
+    monkeypatch.setattr(
+        relaying,
+        'check_key',
+        lambda *_known: gevent.sleep(0.2),
+    )
+    reply = world.ask({'Deadline-Ms': '150'})
+    assert reply.status == 503
+    assert [event for event, _ in world.lines] == ['request_ended']
+    assert not world.sent()
+
+
+def test_targets_that_turn_connections_away_at_once_are_all_tried(
+    monkeypatch,
+):
+    world = World(*(FakeTarget(DONE) for _ in range(8)))
+    unreachable(monkeypatch, timedelta())
+    assert world.ask().status == 503
+    failed = [event for event, _ in world.lines if event == 'target_failed']
+    assert len(failed) == 8
+
+
+def test_a_stop_refuses_what_waits_for_an_adapter():
+    """It has not run, and another gateway may take it at once."""
+    world = World(FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    world.book.by_id['t0'].report = TargetReport(
+        't0',
+        world.clock.elapsed(),
+        models=frozenset('m'),
+    )
+    tools = world.tools()
+    tools.loader.link_of = lambda _target: StuckLink()
+    reply = interrupted(
+        world,
+        headers={'Model': 'm/a1', 'Token-Usage': '10,5'},
+        tools=tools,
+    )
+    assert reply.status == 503
+    assert reply.headers.get('Retry-After') is not None
+    assert not world.sent()
+
+
+def test_nothing_is_sent_late_in_a_stop():
+    world = World(FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND, SECOND)
+    reply = world.ask(tools=tools)
+    assert reply.status == 503
+    assert not world.sent()
+
+
+def test_a_request_already_sent_goes_nowhere_else_late_in_a_stop():
+    world = World(FakeTarget([b'HTTP']), FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 0.2, SECOND)
+    reply = world.ask(tools=tools)
+    assert reply.status == 502
+    assert len(world.sent()) == 1
+
+
+@pytest.mark.parametrize(
+    ('kind', 'status'),
+    [
+        (RouteKind.STREAMING, 503),
+        (RouteKind.IDEMPOTENT, 200),
+        (RouteKind.NON_IDEMPOTENT, 200),
+    ],
+)
+def test_late_in_a_stop_only_what_ends_soon_is_taken(kind, status):
+    """The entry sends callers to a stopping gateway if it has no other."""
+    world = World(FakeTarget(DONE), kind=kind)
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 9, timedelta())
+    assert world.ask(tools=tools).status == status
+
+
+def test_a_stop_refunds_nothing_of_what_was_sent():
+    """A request that may have run counts against its workspace's limit."""
+    world = silent(RouteKind.NON_IDEMPOTENT)
+    world.workspace = Workspace('w', frozenset(('key',)), 0, 10, 10)
+    assert interrupted(world).status == 502
+    assert world.allowance.spent_by_workspace['w'] == 1
+    assert world.lines[-1][1]['runs'] == 1
+
+
+def test_a_stream_cut_at_its_deadline_is_told_from_one_cut_before():
+    """Only the first is allowed, and the logs of a day showed no difference."""
+    world = World(FakeTarget([STREAM_HEAD, event(1), b'']))
+    world.route = replace(world.route, kind=RouteKind.STREAMING)
+    world.ask({'Deadline-Ms': '300'})
+    told = world.lines[-1][1]
+    assert told['outcome'] == 'broken_off'
+    assert told['left_ms'] <= 0
+
+
+def test_a_stop_is_named_where_it_is_the_cause():
+    world = World(FakeTarget(DONE))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed() - SECOND, SECOND, SECOND)
+    assert b'stopping' in world.ask(tools=tools).body
+
+
+def test_full_targets_are_named_though_the_gateway_stops():
+    world = World(FakeTarget(FULL))
+    tools = world.tools()
+    tools.stop.begin(world.clock.elapsed(), SECOND * 9, SECOND)
+    assert b'refused with 503' in world.ask(tools=tools).body
+
+
+class CountingLink(StuckLink):
+    """A link to a keeper that gives no answer, and what it was asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    def ask(self, _ask_id, message, _timeout):
+        self.asked.append(message)
+        super().ask(_ask_id, message, _timeout)
+
+
+def ask_in_stop(stopped_for, model):
+    """Ask for a model so long behind SIGTERM; return reply and keeper's link.
+
+    The only target holds the model without adapters, or no model.
+    """
+    world = World(FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    world.book.by_id['t0'].report = TargetReport(
+        't0',
+        world.clock.elapsed(),
+        models=frozenset('m' if '/' in model else ''),
+    )
+    tools = world.tools()
+    link = CountingLink()
+    tools.loader.link_of = lambda _target: link
+    began_at = world.clock.elapsed() - stopped_for
+    tools.stop.begin(began_at, SECOND * 8, SECOND * 8)
+    reply = world.ask({'Model': model}, tools=tools)
+    gevent.sleep(0.01)
+    return reply, link
+
+
+def test_a_model_is_asked_for_though_the_gateway_stops():
+    """All gateways of a site were stopping, and none had models loaded."""
+    reply, link = ask_in_stop(timedelta(), 'm')
+    assert reply.status == 503
+    assert len(link.asked) == 1
+
+
+def test_no_adapter_is_loaded_for_what_will_not_be_sent():
+    reply, link = ask_in_stop(SECOND * 5, 'm/a1')
+    assert reply.status == 503
+    assert not link.asked
+
+
+class SilentLink:
+    """A link to a keeper that gives no answer within the time allowed."""
+
+    def ask(self, _ask_id, _message, timeout):
+        gevent.sleep(timeout.total_seconds())
+
+    def send(self, _message):
+        return True
+
+
+def ask_for_adapter(stop_time=None):
+    """Ask for an adapter whose one target left loads a model for a second.
+
+    The target that holds it is full. Return the reply and how long it took.
+    """
+    world = World(FakeTarget(FULL), FakeTarget(DONE))
+    world.service = Service('service', 1, ENGINE)
+    now = world.clock.elapsed()
+    held = TargetReport('t0', now, models=frozenset('m'))
+    loading = replace(
+        held,
+        target_id='t1',
+        pending=frozenset('m'),
+        is_ordering=True,
+        ordered_at=now,
+    )
+    world.book.by_id['t0'].report = replace(held, adapters=frozenset(('m/a1',)))
+    world.book.by_id['t1'].report = loading
+    tools = world.tools()
+    tools.loader.link_of = lambda _target: SilentLink()
+    if stop_time is not None:
+        tools.stop.begin(now, stop_time, SECOND)
+    reply = world.ask({'Model': 'm/a1'}, tools=tools)
+    return reply, world.clock.elapsed() - now
+
+
+def test_an_adapter_is_not_waited_for_beyond_the_callers_time():
+    """The wait knew the engine's order and not the caller's deadline."""
+    reply, took = ask_for_adapter()
+    assert reply.status == 503
+    assert timedelta(milliseconds=800) < took < timedelta(milliseconds=1100)
+
+
+def test_an_adapter_is_not_waited_for_beyond_the_sends_of_a_stop():
+    """The request was held until its interrupt, though it could not go on."""
+    reply, took = ask_for_adapter(stop_time=SECOND * 0.8)
+    assert reply.status == 503
+    assert took < timedelta(milliseconds=600)
--- /dev/null
+++ b/tests/relay/world.py
@@ -0,0 +1,263 @@
+"""A gateway with targets over real sockets on loopback, without a process."""
+
+import contextlib
+from datetime import timedelta
+from itertools import count
+from random import Random
+
+import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from verbenamux_contracts.clock import SystemClock
+from verbenamux_http.client import BodyRoom, ConnectionPool
+from verbenamux_http.headers import Headers
+from verbenamux_http.parsing import Request, RequestParser, SizeLimits
+from verbenamux_platform.dialect import platform_dialect
+from verbenamux_relay.allowance import Allowance
+from verbenamux_relay.catalog import (
+    Catalog,
+    EngineTerms,
+    ModelTerms,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    Workspace,
+    routes_by_host,
+)
+from verbenamux_relay.demand import DemandMeter
+from verbenamux_relay.job import OpenJobs
+from verbenamux_relay.loading import Loader
+from verbenamux_relay.picking import Beliefs, PaceBook
+from verbenamux_relay.prompts import PromptMemory
+from verbenamux_relay.relaying import RelayTools, relay
+from verbenamux_relay.repeats import RepeatBudget
+from verbenamux_relay.sending import SendTools
+from verbenamux_relay.settling import Knowledge, SettleTools
+from verbenamux_relay.stopping import StopPlan
+from verbenamux_relay.targets import TargetBook, TargetEntry
+from verbenamux_runtime.metrics import Metrics
+
+SECOND = timedelta(seconds=1)
+SIZES = SizeLimits(65536, 65536)
+PROOF = b'Server-Signature: proof\r\n'
+DONE = b'HTTP/1.1 200 OK\r\n%bContent-Length: 4\r\n\r\ndone' % PROOF
+FULL = b'HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+FAILED = b'HTTP/1.1 500 No\r\n%bContent-Length: 3\r\n\r\nbad' % PROOF
+OTHER = b'HTTP/1.1 421 No\r\nInstance-Id: someone\r\nContent-Length: 0\r\n\r\n'
+STREAM_HEAD = b'HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n' % PROOF
+
+
+ENGINE = EngineTerms(
+    1,
+    1,
+    1,
+    1,
+    1,
+    {'m': ModelTerms('m', 1, SECOND, SECOND, SECOND)},
+)
+
+
+def event(number):
+    encoded = b'id: %d\ndata: x\n\n' % number
+    return b'%x\r\n%b\r\n' % (len(encoded), encoded)
+
+
+class FakeTarget:
+    """A target that gives each request the next of its answers.
+
+    An answer may be a list of pieces; `None` ends the connection there.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.server = StreamServer(('127.0.0.1', 0), self.serve)
+        self.server.start()
+
+    def serve(self, opened, _peer):
+        parser = RequestParser(lambda: SIZES)
+        while piece := opened.recv(65536):
+            parser.feed(piece)
+            while parser.complete:
+                self.requests.append(parser.complete.popleft())
+                if not self.answer(opened):
+                    opened.close()
+                    return
+
+    def answer(self, opened):
+        answer = self.answers.pop(0) if self.answers else None
+        for piece in answer if isinstance(answer, list) else [answer]:
+            if piece is None:
+                return False
+            opened.sendall(piece)
+            gevent.sleep(0.01)
+        return True
+
+
+class EndlessTarget(FakeTarget):
+    """A target that sends a start, then a piece until its caller closes."""
+
+    def __init__(self, start, piece, pause):
+        super().__init__()
+        self.start = start
+        self.piece = piece
+        self.pause = pause
+        self.was_closed = Event()
+
+    def answer(self, opened):
+        with contextlib.suppress(OSError):
+            opened.sendall(self.start)
+            while True:
+                gevent.sleep(self.pause)
+                opened.sendall(self.piece)
+        self.was_closed.set()
+        return False
+
+
+class FakeReply:
+    """Collects what a caller would get."""
+
+    def __init__(self):
+        self.is_started = False
+        self.is_complete = False
+        self.status = None
+        self.headers = Headers()
+        self.body = b''
+
+    def check_wanted(self):
+        pass
+
+    def send(self, status, headers, body):
+        self.start(status, headers)
+        self.body = body
+        self.is_complete = True
+
+    def start(self, status, headers):
+        assert not self.is_started
+        self.is_started = True
+        self.status = status
+        self.headers = headers
+
+    def send_piece(self, piece):
+        self.body += piece
+
+    def finish(self):
+        self.is_complete = True
+
+
+class World:
+    """A gateway's tools over some targets and one route."""
+
+    def __init__(self, *targets, kind=RouteKind.IDEMPOTENT, **route):
+        self.clock = SystemClock()
+        self.lines = []
+        self.trusted = True
+        self.book = TargetBook()
+        self.targets = {}
+        for number, target in enumerate(targets):
+            self.targets[f't{number}'] = target
+            self.book.put(
+                TargetEntry(
+                    f't{number}',
+                    'service',
+                    target.server.address,
+                    'here',
+                    8,
+                ),
+                timedelta(),
+            )
+        self.route = Route(
+            'r',
+            'host',
+            '/',
+            kind,
+            SECOND,
+            SECOND * 0.3,
+            (Share('service', 1),),
+            **({'attempts_most': 2} | route),
+        )
+        self.workspace = Workspace('w', frozenset(('key',)))
+        self.service = Service('service', 100)
+        self.allowance = Allowance(self.clock.elapsed)
+        self.budget = RepeatBudget(self.clock.elapsed, SECOND * 10, 0.2, 10)
+        self.sequence = count(1)
+
+    def knowledge(self):
+        catalog = Catalog(
+            1,
+            routes_by_host([self.route]),
+            {'service': self.service},
+            dict.fromkeys(self.workspace.keys, self.workspace),
+            has_workspaces=True,
+        )
+        return Knowledge(catalog, timedelta(), self.trusted)
+
+    def log(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def tools(self):
+        dialect = platform_dialect()
+        clock = self.clock
+        pool = ConnectionPool(clock.elapsed, BodyRoom(4_000_000))
+
+        def on_first_event(job, _target, sent):
+            sent.is_started = True
+            job.first_event_at = job.first_event_at or clock.elapsed()
+
+        demand = DemandMeter(clock.elapsed)
+        return RelayTools(
+            sending=SendTools(clock, pool, dialect, on_first_event),
+            settling=SettleTools(
+                clock,
+                dialect,
+                self.allowance,
+                Metrics(),
+                Random(1),
+                self.knowledge,
+                self.log,
+            ),
+            beliefs=Beliefs(self.book, PromptMemory(), PaceBook(), 'here'),
+            loader=Loader(
+                self.book,
+                lambda _target: None,
+                clock,
+                self.log,
+                lambda name, **labels: None,
+                demand.current,
+            ),
+            demand=demand,
+            budget_of=lambda _service: self.budget,
+            open_jobs=OpenJobs(),
+            stop=StopPlan(),
+            sequence=self.sequence,
+        )
+
+    def ask(self, headers=(), key='key', body=b'', tools=None):
+        fields = {
+            'Host': 'host',
+            'Attempt-Id': 'id-1',
+            'Deadline-Ms': '900',
+            'Authorization': f'Bearer {key}',
+        } | dict(headers)
+        if body:
+            fields['Content-Length'] = str(len(body))
+        request = Request(
+            'POST',
+            '/path?query',
+            Headers(tuple(fields.items())),
+            body,
+            is_chunked=False,
+            keeps_connection=True,
+        )
+        reply = FakeReply()
+        relay(request, reply, tools or self.tools())
+        return reply
+
+    def sent(self):
+        return [
+            request
+            for target in self.targets.values()
+            for request in target.requests
+        ]
