--- a/tests/relay/test_limits_replayed.py
+++ b/tests/relay/test_limits_replayed.py
@@ -108,3 +108,16 @@
     fleet.run(8)
     most = (RATE * WINDOW_SECONDS + RATE) * (1 + OVERAGE) + SLACK
     assert fleet.most_in_a_window() <= most
+
+
+@pytest.mark.parametrize('count', [6, 28])
+def test_gateways_that_all_start_anew_keep_the_limit_of_a_large_burst(count):
+    """Each of the two starts gives the whole burst, in one window."""
+    burst = 3 * RATE
+    fleet = Fleet(count, burst, 3.3)
+    fleet.run(2)
+    for name in fleet.gateways:
+        fleet.start(name)
+    fleet.run(8)
+    most = (RATE * WINDOW_SECONDS + burst) * (1 + OVERAGE) + SLACK
+    assert fleet.most_in_a_window() <= most
