Peers: probe a connection from the side that opened it

Cause: both ends of every connection between programs sent a ZeroMQ ping every 2 s and answered the other's. At 68 gateways and 60 keepers there are 8,636 connections: 17,000 frames a second, whatever is said on them. Ruled out: doing without pings, since a connection whose other end vanished in silence would be found by TCP alone, after minutes. Change: the side that opens a connection pings it and states how long it may be silent; the side that listens pings every 15 s, for ends that vanished between two pings.

--- a/libs/runtime/src/verbenamux_runtime/peers.py
+++ b/libs/runtime/src/verbenamux_runtime/peers.py
@@ -21,7 +21,14 @@
 HIGH_WATER_MESSAGES = 100_000
 MIN_RECONNECT_DELAY_MS = 50
 MAX_RECONNECT_DELAY_MS = 500
+# The side that connects probes the connection at this interval and reconnects
+# when nothing comes back.
 KEEPALIVE_INTERVAL_MS = 2000
+# The side that listens learns of most ends by the probes; its own ones find
+# connections whose other end vanished in silence.
+SERVER_KEEPALIVE_INTERVAL_MS = 15_000
+KEEPALIVE_TIMEOUT_MS = 4000
+CLOSE_LINGER_MS = 2000
 LISTEN_BACKLOG = 4096
 MAX_FRAME_BYTES = 32_000_000
 
@@ -67,7 +74,7 @@
         self._handler = handler
         self._on_decode_error = on_decode_error
         self._socket = _context.socket(zmq.ROUTER)
-        _configure_socket(self._socket)
+        _configure_socket(self._socket, SERVER_KEEPALIVE_INTERVAL_MS)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._socket.setsockopt(zmq.BACKLOG, LISTEN_BACKLOG)
@@ -106,7 +113,7 @@
 
     def close(self) -> None:
         """Stop listening; queued messages may still be sent for 2 s."""
-        self._socket.close(KEEPALIVE_INTERVAL_MS)
+        self._socket.close(CLOSE_LINGER_MS)
 
 
 class PeerLink:
@@ -124,7 +131,7 @@
         self._handler = handler
         self._reply_by_ask_id: dict[str, AsyncResult] = {}
         self._socket = _context.socket(zmq.DEALER)
-        _configure_socket(self._socket)
+        _configure_socket(self._socket, KEEPALIVE_INTERVAL_MS)
         self._socket.setsockopt(zmq.IDENTITY, identity.encode())
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.RECONNECT_IVL, MIN_RECONNECT_DELAY_MS)
@@ -189,10 +196,11 @@
             write_error(type(message).__name__, error)
 
 
-def _configure_socket(socket: Any) -> None:
+def _configure_socket(socket: Any, keepalive_interval_ms: int) -> None:
     socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MESSAGES)
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, KEEPALIVE_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 2 * KEEPALIVE_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, keepalive_interval_ms)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, KEEPALIVE_TIMEOUT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, KEEPALIVE_TIMEOUT_MS)
