Report timing: one module for intervals and the timeouts that judge them

Cause: intervals of reports grow with the number of gateways, the timeouts that judge them were constants. At 68 gateways a keeper may report every 1.02 s and counted as unresponsive after 1.3 s: one late report, and each of 68 gateways asked for a whole report four times a second, which the keeper sent. An idle keeper reported twice as often as a busy one. Waiting requests of a peer left the demand after 2 s, before its next notice at 2.1 s. A small fleet's peer was unresponsive after 0.7 s, less than a pause of half a second. Change: report_timing.py gives both. A keeper tells the interval it keeps, and a gateway judges it by that. A hello names the report that a gateway has, and the keeper sends a whole one only if it is not the current one. The notice of an engine's limits is encoded when it changes, not four times a second.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -304,11 +304,15 @@
 class KeeperHello(Message, frozen=True):
     """A gateway requests reports of a keeper's engine.
 
-    `wants_report` requests a complete report at once.
+    `wants_report` requests a complete report at once. `target_id` and
+    `revision` are those of the newest report that the gateway has; it gets a
+    complete one if they are not the current ones.
     """
 
     sender: str
     wants_report: bool = False
+    target_id: str = ''
+    revision: int = -1
 
 
 class ModelSize(msgspec.Struct, frozen=True, array_like=True):
@@ -345,7 +349,8 @@
     `started_ms` is the Unix time of the engine's start, `ordered_ms` the
     time since the model order in progress was requested.
     `revision` counts the changes of holdings, and `keeper` identifies the
-    lifetime of the keeper's process.
+    lifetime of the keeper's process. The next report follows within
+    `interval_ms`.
     """
 
     target_id: str
@@ -368,6 +373,7 @@
     store_loads_ready: bool = True
     revision: int = 0
     keeper: str = ''
+    interval_ms: int = 500
 
 
 class KeeperLoad(Message, frozen=True):
@@ -375,7 +381,7 @@
 
     Fields that are None, and those only a KeeperReport has, are unchanged
     since revision `follows`. `ordered_ms` is current if any holding is
-    present.
+    present. The next message follows within `interval_ms`.
     """
 
     target_id: str
@@ -392,6 +398,7 @@
     is_ordering: bool | None = None
     store_loads_ready: bool | None = None
     ordered_ms: int = 0
+    interval_ms: int = 500
 
 
 class KeeperLeaving(Message, frozen=True):
--- /dev/null
+++ b/libs/contracts/src/verbenamux_contracts/report_timing.py
@@ -0,0 +1,57 @@
+"""Intervals of reports between processes, and the timeouts that judge them.
+
+Load pattern: every gateway reports to all others and hears from every keeper,
+so each sends less often in a larger fleet. The timeouts follow from the same
+intervals: one lost report, or one delayed by a short pause of its sender, does
+not make the sender unresponsive at any size.
+"""
+
+from datetime import timedelta
+
+# A gateway reports its usage to the others at this interval in a small fleet.
+MIN_USAGE_INTERVAL = timedelta(milliseconds=250)
+# From this many peers on, usage is reported less often in proportion.
+MAX_PEERS_AT_FULL_RATE = 8
+# A keeper reports changed counts no more often than this.
+MIN_COUNT_INTERVAL = timedelta(milliseconds=150)
+# From this many gateways on, counts are reported less often in proportion.
+MAX_GATEWAYS_AT_FULL_RATE = 10
+# A keeper reports at this interval when nothing changes, in a small fleet.
+MIN_IDLE_INTERVAL = timedelta(milliseconds=500)
+# A process may be paused for this long without being considered unresponsive.
+MAX_PAUSE = timedelta(milliseconds=500)
+# Time for the network, and for the periodic task that sends or receives.
+DELIVERY_TIME = timedelta(milliseconds=200)
+# The load that a report tells is used for at least this long.
+MIN_LOAD_AGE = timedelta(milliseconds=1500)
+
+
+def usage_interval(peers: int) -> timedelta:
+    """Return the interval of usage reports of a gateway with these peers."""
+    return MIN_USAGE_INTERVAL * max(1, peers / MAX_PEERS_AT_FULL_RATE)
+
+
+def count_interval(gateways: int) -> timedelta:
+    """Return the interval at which a keeper reports changed counts."""
+    return MIN_COUNT_INTERVAL * max(1, gateways / MAX_GATEWAYS_AT_FULL_RATE)
+
+
+def idle_interval(gateways: int) -> timedelta:
+    """Return the interval of a keeper's reports when nothing changes.
+
+    It is the longest interval between two reports of a keeper.
+    """
+    return max(MIN_IDLE_INTERVAL, count_interval(gateways))
+
+
+def silence_timeout(interval: timedelta) -> timedelta:
+    """Return after how long without a report its sender is unresponsive.
+
+    `interval` is the longest between two reports of the sender.
+    """
+    return max(interval * 2, interval + MAX_PAUSE) + DELIVERY_TIME
+
+
+def max_load_age(interval: timedelta) -> timedelta:
+    """Return how long a reported load is used, at most."""
+    return max(MIN_LOAD_AGE, silence_timeout(interval))
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -194,8 +194,8 @@
         return to_milliseconds(self._clock.elapsed() - self.state.ordered_at)
 
     def _handle_hello(self, sender: bytes, hello: KeeperHello) -> None:
-        self._reporter.subscribe(sender, wants_report=hello.wants_report)
-        self.publish_changes()
+        if self._reporter.subscribe(sender, hello):
+            self.publish_changes()
 
     def _update_notice(self, notice: EngineNotice) -> None:
         current = self.state.notice
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -10,21 +10,16 @@
 
 import msgspec
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_contracts.messages import (
+    KeeperHello,
     KeeperLeaving,
     KeeperLoad,
     KeeperReport,
     LoadReply,
 )
+from verbenamux_contracts.report_timing import count_interval, idle_interval
 
-# In a small fleet, reports in which only counts changed are sent no more often
-# than this.
-MIN_REPORT_INTERVAL = timedelta(milliseconds=150)
-# With more gateways than this the interval grows in proportion.
-MAX_GATEWAYS_AT_FULL_RATE = 10
-# Reports without changes are sent at this interval.
-IDLE_REPORT_INTERVAL = timedelta(milliseconds=500)
 # A gateway that has sent no hello for this long gets no reports.
 SUBSCRIBER_TIMEOUT = timedelta(seconds=8)
 
@@ -71,11 +66,21 @@
         self._last_sent_at = timedelta()
         self._revision = 0
 
-    def subscribe(self, sender: bytes, *, wants_report: bool) -> None:
-        """Subscribe a gateway for some seconds; a new one gets a report."""
-        if wants_report or sender not in self._last_received_at_by_sender:
+    def subscribe(self, sender: bytes, hello: KeeperHello) -> bool:
+        """Subscribe a gateway for some seconds.
+
+        Return whether it needs a whole report: it asks for one, is new, or
+        missed a change.
+        """
+        needs_whole_report = (
+            hello.wants_report
+            or sender not in self._last_received_at_by_sender
+            or self._has_missed_change(hello)
+        )
+        if needs_whole_report:
             self._needs_whole_report.add(sender)
         self._last_received_at_by_sender[sender] = self._clock.elapsed()
+        return needs_whole_report
 
     def send_changes(self, report: KeeperReport) -> None:
         """Send the changes in a report, if that is due."""
@@ -110,8 +115,21 @@
         for sender in self._last_received_at_by_sender:
             self._send(sender, KeeperLeaving(target_id))
 
+    def _has_missed_change(self, hello: KeeperHello) -> bool:
+        report = self._last_report
+        return report is not None and (
+            (hello.target_id, hello.revision)
+            != (report.target_id, report.revision)
+        )
+
     def _with_revision(self, report: KeeperReport) -> KeeperReport:
-        return msgspec.structs.replace(report, revision=self._revision)
+        """Return a report with its revision and its promised interval."""
+        gateways = len(self._last_received_at_by_sender)
+        return msgspec.structs.replace(
+            report,
+            revision=self._revision,
+            interval_ms=to_milliseconds(idle_interval(gateways)),
+        )
 
     def _send_to_all(
         self, report: KeeperReport, change: KeeperLoad | None
@@ -136,13 +154,14 @@
         report: KeeperReport,
         last_report: KeeperReport,
     ) -> timedelta:
-        if not _differences(
-            report, last_report, (*COUNT_FIELDS, *OPTIONAL_CHANGE_FIELDS)
-        ):
-            return IDLE_REPORT_INTERVAL
         gateways = len(self._last_received_at_by_sender)
-        return MIN_REPORT_INTERVAL * max(
-            gateways / MAX_GATEWAYS_AT_FULL_RATE, 1
+        is_unchanged = not _differences(
+            report, last_report, (*COUNT_FIELDS, *OPTIONAL_CHANGE_FIELDS)
+        )
+        return (
+            idle_interval(gateways)
+            if is_unchanged
+            else count_interval(gateways)
         )
 
 
@@ -156,6 +175,7 @@
         unstarted=report.unstarted,
         active=report.active,
         used_tokens=report.used_tokens,
+        interval_ms=report.interval_ms,
         ordered_ms=report.ordered_ms if changed_fields else 0,
         **changed_fields,
     )
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -12,11 +12,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from verbenamux_contracts.report_timing import (
+    MIN_USAGE_INTERVAL,
+    silence_timeout,
+)
 from verbenamux_relay.catalog import Workspace
 
-# Notices arrive at least this often in a small fleet; a gateway without a
-# notice for longer may be spending without it being known.
-PEER_TIMEOUT = timedelta(milliseconds=700)
 # A gateway that started less than this ago adopts the levels of its peers.
 STARTUP_WINDOW = timedelta(seconds=2)
 # For this long after its last notice an unresponsive gateway keeps its share.
@@ -50,7 +51,7 @@
     def __init__(
         self,
         elapsed: Elapsed,
-        peer_timeout: Elapsed = lambda: PEER_TIMEOUT,
+        peer_timeout: Elapsed = lambda: silence_timeout(MIN_USAGE_INTERVAL),
     ) -> None:
         """Start with full buckets; `elapsed` includes time suspended.
 
--- a/libs/relay/src/verbenamux_relay/demand.py
+++ b/libs/relay/src/verbenamux_relay/demand.py
@@ -12,8 +12,9 @@
 # Time constant of the decay of past requests: a request weighs less than half
 # after this time.
 DECAY_TIME = timedelta(seconds=6)
-# Waiting requests of a gateway without a notice for this long are not counted.
-PEER_TIMEOUT = timedelta(seconds=2)
+# Waiting requests of a gateway without a notice are counted for at least this
+# long.
+MIN_PEER_TIMEOUT = timedelta(seconds=2)
 
 
 @dataclass(slots=True)
@@ -26,11 +27,20 @@
 class DemandMeter:
     """Counts requests by model, of this gateway and as reported by others."""
 
-    def __init__(self, elapsed: Callable[[], timedelta]) -> None:
-        """Start with no demand."""
+    def __init__(
+        self,
+        elapsed: Callable[[], timedelta],
+        peer_timeout: Callable[[], timedelta] = lambda: MIN_PEER_TIMEOUT,
+    ) -> None:
+        """Start with no demand.
+
+        A gateway without a notice for longer than `peer_timeout` is
+        unresponsive.
+        """
         self.requests_by_model: Counter[str] = Counter()
         self.waiting_by_model: Counter[str] = Counter()
         self._elapsed = elapsed
+        self._peer_timeout = peer_timeout
         self._recent_by_model: dict[str, float] = {}
         self._decayed_at = elapsed()
         self._peers_by_instance: dict[str, _Peer] = {}
@@ -70,9 +80,10 @@
     def current(self) -> Demand:
         """Return the demand of all gateways that reported recently."""
         now = self._elapsed()
+        peer_timeout = max(self._peer_timeout(), MIN_PEER_TIMEOUT)
         waiting = Counter(self.own_waiting())
         for instance, peer in tuple(self._peers_by_instance.items()):
-            if now - peer.last_received_at < PEER_TIMEOUT:
+            if now - peer.last_received_at < peer_timeout:
                 waiting.update(peer.waiting)
             elif now - peer.last_received_at > DECAY_TIME:
                 self._peers_by_instance.pop(instance)
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -100,7 +100,7 @@
             on_message=self._handle_keeper_message,
         )
         self.allowance = Allowance(clock.elapsed, self.peers.peer_timeout)
-        self.demand = DemandMeter(clock.elapsed)
+        self.demand = DemandMeter(clock.elapsed, self.peers.peer_timeout)
         self.loader = Loader(
             target_table=routing_state.target_table,
             link_of=self.keepers.link_of,
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -20,7 +20,7 @@
     ModelSize,
     encode_message,
 )
-from verbenamux_relay.catalog import Catalog, EngineTerms
+from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import Target, TargetReport, TargetTable
 from verbenamux_runtime.peers import PeerLink
@@ -62,11 +62,13 @@
         self._catalog: Catalog | None = None
         self._links_by_host: dict[str, PeerLink] = {}
         self._uninformed_since: dict[str, timedelta] = {}
+        self._notice_by_service: dict[str, EngineNotice] = {}
         self._rounds = count()
 
     def adopt(self, catalog: Catalog) -> None:
         """Adopt a configuration and link the keepers of its engines."""
         self._catalog = catalog
+        self._notice_by_service.clear()
         for target in tuple(self._target_table.by_id.values()):
             self.follow(target)
 
@@ -115,7 +117,7 @@
                 not target.report or target.has_unresponsive_keeper(now)
             )
             if is_due or is_unresponsive:
-                self._greet(target, wants_report=is_unresponsive)
+                self._greet(target, wants_report=target.report is None)
             notice = notice_by_service.get(target.entry.service)
             if notice is not None:
                 self._inform(target, notice, now)
@@ -135,7 +137,14 @@
         return _with_changes(target.report, message, self._elapsed())
 
     def _greet(self, target: Target, *, wants_report: bool) -> None:
-        hello = KeeperHello(self._instance, wants_report)
+        report = target.report
+        hello = (
+            KeeperHello(self._instance, wants_report)
+            if report is None
+            else KeeperHello(
+                self._instance, wants_report, report.target_id, report.revision
+            )
+        )
         self._send(target, hello)
 
     def _inform(
@@ -172,15 +181,24 @@
             for target in self._target_table.by_id.values()
             if is_serving(target, now)
         )
-        return {
-            service.name: _engine_notice(
-                self._catalog.version,
-                service.engine,
-                serving[service.name],
+        for service in self._catalog.services_by_name.values():
+            if service.engine is not None:
+                self._update_notice(
+                    self._catalog.version, service, serving[service.name]
+                )
+        return self._notice_by_service
+
+    def _update_notice(
+        self, version: int, service: Service, targets: int
+    ) -> None:
+        """Make the notice of a service anew if its content changed."""
+        notice = self._notice_by_service.get(service.name)
+        if service.engine is not None and (
+            notice is None or notice.targets != targets
+        ):
+            self._notice_by_service[service.name] = _engine_notice(
+                version, service.engine, targets
             )
-            for service in self._catalog.services_by_name.values()
-            if service.engine is not None
-        }
 
 
 def decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
@@ -203,6 +221,7 @@
         store_loads_ready=message.store_loads_ready,
         terms=message.terms,
         keeper=message.keeper,
+        interval=timedelta(milliseconds=message.interval_ms),
     )
 
 
@@ -221,6 +240,7 @@
         unstarted=message.unstarted,
         active=message.active,
         used_tokens=message.used_tokens,
+        interval=timedelta(milliseconds=message.interval_ms),
         ordered_at=ordered_at,
         adapters=_updated_names(message.adapters, report.adapters),
         models=_updated_names(message.models, report.models),
--- a/libs/relay/src/verbenamux_relay/peering.py
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -7,16 +7,10 @@
 
 from verbenamux_contracts.ids import InstanceId
 from verbenamux_contracts.messages import AnyMessage, UsageNotice
+from verbenamux_contracts.report_timing import silence_timeout, usage_interval
 from verbenamux_relay.usage import Usage, UsageReader, UsageReporter
 from verbenamux_runtime.peers import PeerLink
 
-# Gateways report spending to each other at this interval in a small fleet.
-USAGE_INTERVAL = timedelta(milliseconds=250)
-# From this many peers on, notices are sent less often in proportion.
-MAX_PEERS_AT_FULL_RATE = 8
-# A peer that missed this many notices is unresponsive: it may be spending
-# without reporting it, and neither plans nor reads for others.
-MAX_MISSED_NOTICES = 2.8
 # Gateway instances whose usage is remembered, including ended ones.
 MAX_READERS = 2000
 
@@ -72,11 +66,15 @@
 
     def usage_interval(self) -> timedelta:
         """Return the interval of usage reports, by the number of peers."""
-        return USAGE_INTERVAL * max(1, self.count() / MAX_PEERS_AT_FULL_RATE)
+        return usage_interval(self.count())
 
     def peer_timeout(self) -> timedelta:
-        """Return after how long without a notice a peer is unresponsive."""
-        return self.usage_interval() * MAX_MISSED_NOTICES
+        """Return after how long without a notice a peer is unresponsive.
+
+        It may be spending without reporting it, and neither plans nor reads
+        for others.
+        """
+        return silence_timeout(self.usage_interval())
 
     def send_usage(self, usage: Usage, *, is_leaving: bool = False) -> None:
         """Send each peer the changes in this gateway's usage."""
--- a/libs/relay/src/verbenamux_relay/target_selection.py
+++ b/libs/relay/src/verbenamux_relay/target_selection.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from verbenamux_contracts.report_timing import silence_timeout
 from verbenamux_relay.catalog import EngineTerms, Service
 from verbenamux_relay.model_placement import Holding, load_time
 from verbenamux_relay.prompt_cache import PromptMemory, affinity
@@ -29,7 +30,7 @@
 MIN_ORDER_TIME = timedelta(milliseconds=100)
 # Value of `loading` while a target only unloads a model.
 UNLOADING = ''
-# A target that sent something within this time counts as alive.
+# A target without reports counts as alive for this long after its last answer.
 ALIVE_WINDOW = timedelta(milliseconds=1200)
 
 
@@ -98,9 +99,14 @@
         return False
     if target.removed_at is None:
         return True
+    alive_window = (
+        silence_timeout(target.report.interval)
+        if target.report
+        else ALIVE_WINDOW
+    )
     return (
         now < target.serves_until
-        and now - target.last_received_at < ALIVE_WINDOW
+        and now - target.last_received_at < alive_window
     )
 
 
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -4,10 +4,14 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from verbenamux_contracts.report_timing import (
+    MIN_IDLE_INTERVAL,
+    MIN_LOAD_AGE,
+    max_load_age,
+    silence_timeout,
+)
 from verbenamux_relay.terms import LoadNotice
 
-# A report or load notice older than this is ignored for the load.
-LOAD_NOTICE_MAX_AGE = timedelta(milliseconds=1500)
 # Weight of the newest outcome in a target's failure rate.
 FAILURE_WEIGHT = 0.15
 # First and longest backoff after failures that show a target is unreachable.
@@ -19,8 +23,6 @@
 # A target at whose address another one answers gets no requests for this long;
 # the registry drops its entry after three missed check-ins.
 REPLACED_COOLDOWN = timedelta(seconds=5)
-# A keeper reports at least twice a second; after this it is unresponsive.
-KEEPER_TIMEOUT = timedelta(milliseconds=1300)
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +47,8 @@
     """A target as reported by its keeper; times are monotonic.
 
     `ordered_at` is when the model order in progress was requested, `keeper`
-    names the instance of the keeper that reported.
+    names the instance of the keeper that reported. The next report follows
+    within `interval`.
     """
 
     target_id: str
@@ -66,6 +69,7 @@
     terms: str = ''
     keeper: str = ''
     is_keeper_leaving: bool = False
+    interval: timedelta = MIN_IDLE_INTERVAL
 
 
 @dataclass(slots=True)
@@ -157,7 +161,7 @@
         """Return whether its keeper reported before and no longer does."""
         report = self.report
         return report is not None and (
-            now - report.received_at > KEEPER_TIMEOUT
+            now - report.received_at > silence_timeout(report.interval)
         )
 
     def accepts_orders(self, now: timedelta) -> bool:
@@ -195,14 +199,14 @@
         """
         report = self.report
         if report is not None and (
-            now - report.received_at < LOAD_NOTICE_MAX_AGE
+            now - report.received_at < max_load_age(report.interval)
         ):
             return LoadNotice(
                 report.active,
                 report.unstarted,
                 self.entry.slots,
             )
-        if self.load is not None and now - self.load_at < LOAD_NOTICE_MAX_AGE:
+        if self.load is not None and now - self.load_at < MIN_LOAD_AGE:
             return self.load
         return None
 
