Limits: spending of before a gateway's start is not charged to it, however late it hears of it

What callers saw: 429 for a workspace within its limit, at a gateway that had just started in a large fleet. Cause: the sums in a gateway's first notice count as new spending unless they come within 2 s of the receiver's start. Gateways of a fleet of 68 report every 2.1 s, so the first notice of most peers comes later, and all that they ever spent was subtracted at once. Change: a notice tells how long its sender has run. The sums of an older gateway are the baseline, those of a younger one were all spent since. Test: test_a_late_first_notice_does_not_charge_past_spending failed with the old condition.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -451,7 +451,8 @@
     `whole`. `left`, in whole notices only, is the sender's estimate of what
     each workspace may still spend. By model, `waiting` counts requests
     before their first event, `asked` all requests. `wants_whole` requests a
-    whole notice from the receiver.
+    whole notice from the receiver. The instance had run for `age_ms` when it
+    reported this usage, its `version`.
     """
 
     sender: str
@@ -464,6 +465,8 @@
     asked: dict[str, int] = {}
     left: dict[str, float] = {}
     leaving: bool = False
+    age_ms: int = 0
+    version: int = 0
 
 
 class ReadAsk(Message, frozen=True):
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -18,7 +18,8 @@
 )
 from verbenamux_relay.catalog import Workspace
 
-# A gateway that started less than this ago adopts the levels of its peers.
+# The use of a workspace may not be known to a gateway that started less than
+# this ago.
 STARTUP_WINDOW = timedelta(seconds=2)
 # For this long after its last notice an unresponsive gateway keeps its share.
 SHARE_RESERVATION_TIME = timedelta(seconds=20)
@@ -66,6 +67,10 @@
         self.spent_by_workspace: dict[str, float] = {}
         self._reported_by_workspace: dict[str, float] = {}
 
+    def age(self) -> timedelta:
+        """Return how long this gateway has kept the buckets."""
+        return self._elapsed() - self._started_at
+
     def take(self, workspace: Workspace, cost: float) -> timedelta | None:
         """Spend the cost, or return the time until it is covered."""
         if not workspace.per_second:
@@ -106,7 +111,7 @@
 
     def _should_report_now(self, bucket: _Bucket) -> bool:
         workspace = bucket.workspace
-        is_starting = self._elapsed() - self._started_at < STARTUP_WINDOW
+        is_starting = self.age() < STARTUP_WINDOW
         if (
             not is_starting
             and bucket.level > workspace.burst * NEAR_LIMIT_FRACTION
@@ -134,16 +139,18 @@
         level_by_workspace: Mapping[str, float],
         workspaces_by_name: dict[str, Workspace],
         is_leaving: bool = False,
+        age: timedelta = timedelta(),
     ) -> None:
         """Subtract what another gateway spent since its last notice.
 
-        `sender` names one instance of a gateway: its sums start at zero. What
-        it spent before this gateway's start is in the sender's levels.
+        `sender` names one instance of a gateway, which has run for `age`: its
+        sums start at zero. What it spent before this gateway's start is in the
+        sender's levels, however late its first notice comes.
         """
         now = self._elapsed()
         previous = self._peers_by_name.get(sender)
         before = previous.spent_by_workspace if previous else dict[str, float]()
-        if previous is None and now - self._started_at < STARTUP_WINDOW:
+        if previous is None and self.age() < age:
             before = spent_by_workspace
             self._adopt_levels(level_by_workspace, workspaces_by_name)
         self._peers_by_name[sender] = _Peer(
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -254,6 +254,7 @@
             left=self.allowance.levels(),
             waiting=self.demand.own_waiting(),
             asked=dict(self.demand.requests_by_model),
+            age=self.allowance.age(),
         )
         self.peers.send_usage(usage, is_leaving=self.stop.is_under_way)
         self.allowance.mark_reported()
@@ -419,6 +420,7 @@
             usage.left,
             workspaces,
             notice.leaving,
+            usage.age,
         )
         self.demand.handle_usage(notice.instance, usage)
 
--- a/libs/relay/src/verbenamux_relay/usage.py
+++ b/libs/relay/src/verbenamux_relay/usage.py
@@ -8,8 +8,10 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TypeVar
 
+from verbenamux_contracts.clock import milliseconds, to_milliseconds
 from verbenamux_contracts.messages import UsageNotice
 
 Amount = TypeVar('Amount', int, float)
@@ -19,13 +21,16 @@
 class Usage:
     """Spending of a gateway by workspace, and its requests by model.
 
-    `left` is what each workspace may still spend according to it.
+    `left` is what each workspace may still spend according to it. `age` is how
+    long it had run then; `version` counts its reports.
     """
 
     spent: Mapping[str, float] = field(default_factory=dict)
     left: Mapping[str, float] = field(default_factory=dict)
     waiting: Mapping[str, int] = field(default_factory=dict)
     asked: Mapping[str, int] = field(default_factory=dict)
+    age: timedelta = timedelta()
+    version: int = 0
 
 
 class UsageReporter:
@@ -68,6 +73,8 @@
             waiting=_changed(before.waiting, usage.waiting),
             asked=_changed(before.asked, usage.asked),
             leaving=is_leaving,
+            age_ms=to_milliseconds(usage.age),
+            version=usage.version,
         )
 
 
@@ -93,6 +100,8 @@
             left=notice.left,
             waiting={**current.waiting, **notice.waiting},
             asked={**current.asked, **notice.asked},
+            age=milliseconds(notice.age_ms),
+            version=notice.version,
         )
         return self._received
 
--- a/tests/keeper/test_reporting.py
+++ b/tests/keeper/test_reporting.py
@@ -1,6 +1,7 @@
 """Which reports of an engine gateways get, and how often."""
 
 from datetime import timedelta
+from itertools import pairwise
 
 import msgspec
 import pytest
@@ -164,7 +165,7 @@
         reporter.send_changes(changed(active=step if is_busy else 3))
         clock.advance(TICK)
     sent_at = sorted({at for at, _ in sent})
-    pairs = tuple(zip(sent_at, sent_at[1:], strict=False))
+    pairs = tuple(pairwise(sent_at))
     assert pairs
     timeout = silence_timeout(timedelta(milliseconds=sent[-1][1].interval_ms))
     assert max(after - before for before, after in pairs) * 2 < timeout
--- a/tests/relay/test_allowance.py
+++ b/tests/relay/test_allowance.py
@@ -25,6 +25,7 @@
         sender.levels(),
         BY_NAME,
         is_leaving,
+        sender.age(),
     )
 
 
@@ -95,6 +96,29 @@
     assert newcomer.take(WORKSPACE, 1900) is None
 
 
+def test_a_late_first_notice_does_not_charge_past_spending(pair, clock):
+    """At 68 gateways the first notice may come after more than two seconds."""
+    first, second = pair
+    for _ in range(6):
+        spend_all(first)
+        report(first, second, 'first')
+        clock.advance(timedelta(seconds=2))
+    report(second, first, 'second')
+    newcomer = Allowance(clock.elapsed)
+    clock.advance(timedelta(seconds=3))
+    report(first, newcomer, 'first')
+    assert newcomer.take(WORKSPACE, 1900) is None
+
+
+def test_all_spending_of_a_younger_gateway_is_charged(pair, clock):
+    first, _ = pair
+    newcomer = Allowance(clock.elapsed)
+    clock.advance(timedelta(seconds=1))
+    assert newcomer.take(WORKSPACE, 1900) is None
+    report(newcomer, first, 'newcomer')
+    assert first.take(WORKSPACE, 200) is not None
+
+
 def test_two_sides_of_a_partition_stay_within_one_rate(pair, clock):
     """One workspace spends all it can while neither gateway gets notices."""
     first, second = pair
--- a/tests/relay/test_limits_replayed.py
+++ b/tests/relay/test_limits_replayed.py
@@ -58,6 +58,7 @@
                     dict(gateway.spent_by_workspace),
                     gateway.levels(),
                     {'theatre': self.workspace},
+                    age=gateway.age(),
                 )
         gateway.mark_reported()
         self.report_due_at[name] = self.clock.elapsed() + self.period
