Peers: pass usage on between data centres in a large fleet

Cause: every gateway sent its usage to every other one, and near a workspace's limit it does so at once: at 68 gateways each such request led to 67 messages, 5 in 6 of them between data centres. The interval of calm notices grew to 2.1 s, and a leader that died was believed in for 5.9 s. Change: with more than 16 peers a gateway reports to those of its own data centre. The first two responsive ones there, the reporters, exchange what changed with the reporter of the same rank in each other data centre, every 0.5 s or at once near a limit, and pass on what they get. The sums stay those of one instance with a version, so it does no harm that they arrive twice, late or in another order; what a link missed is asked for again. Ruled out: one sum a data centre, which changes its base with every reporter that ends; a gossip round, whose age is harder to bound.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -452,7 +452,8 @@
     each workspace may still spend. By model, `waiting` counts requests
     before their first event, `asked` all requests. `wants_whole` requests a
     whole notice from the receiver. The instance had run for `age_ms` when it
-    reported this usage, its `version`.
+    reported this usage, its `version`. `urgent` says that a workspace is near
+    its limit.
     """
 
     sender: str
@@ -467,6 +468,26 @@
     leaving: bool = False
     age_ms: int = 0
     version: int = 0
+    urgent: bool = False
+
+
+class UsageDigest(Message, frozen=True):
+    """A gateway passes on the usage of others, and its own.
+
+    `sender` is its instance, `data_centre` where it is. The notices of each
+    instance are numbered on this link. `urgent` asks to pass it on at once.
+    """
+
+    sender: str
+    data_centre: str
+    notices: tuple[UsageNotice, ...] = ()
+    urgent: bool = False
+
+
+class UsageWanted(Message, frozen=True):
+    """A gateway missed notices of these instances: it needs whole ones."""
+
+    instances: tuple[str, ...]
 
 
 class ReadAsk(Message, frozen=True):
@@ -503,6 +524,8 @@
     | AdapterUse
     | LoadReply
     | UsageNotice
+    | UsageDigest
+    | UsageWanted
     | ReadAsk
     | ReadReply
 )
--- a/libs/contracts/src/verbenamux_contracts/report_timing.py
+++ b/libs/contracts/src/verbenamux_contracts/report_timing.py
@@ -1,17 +1,21 @@
 """Intervals of reports between processes, and the timeouts that judge them.
 
-Load pattern: every gateway reports to all others and hears from every keeper,
-so each sends less often in a larger fleet. The timeouts follow from the same
-intervals: one lost report, or one delayed by a short pause of its sender, does
-not make the sender unresponsive at any size.
+Load pattern: gateways report to each other and hear from every keeper, so each
+sends less often to more receivers. The timeouts follow from the same intervals:
+one lost report, or one delayed by a short pause of its sender, does not make
+the sender unresponsive at any size.
 """
 
 from datetime import timedelta
 
 # A gateway reports its usage to the others at this interval in a small fleet.
 MIN_USAGE_INTERVAL = timedelta(milliseconds=250)
-# From this many peers on, usage is reported less often in proportion.
+# From this many receivers on, usage is reported less often in proportion.
 MAX_PEERS_AT_FULL_RATE = 8
+# With more peers than this, usage is passed on between data centres.
+MAX_MESH_PEERS = 16
+# What changed is passed on between data centres, and within one, this often.
+DIGEST_INTERVAL = timedelta(milliseconds=500)
 # A keeper reports changed counts no more often than this.
 MIN_COUNT_INTERVAL = timedelta(milliseconds=150)
 # From this many gateways on, counts are reported less often in proportion.
@@ -26,9 +30,17 @@
 MIN_LOAD_AGE = timedelta(milliseconds=1500)
 
 
-def usage_interval(peers: int) -> timedelta:
-    """Return the interval of usage reports of a gateway with these peers."""
-    return MIN_USAGE_INTERVAL * max(1, peers / MAX_PEERS_AT_FULL_RATE)
+def usage_interval(receivers: int) -> timedelta:
+    """Return the interval of usage reports of a gateway to these receivers."""
+    return MIN_USAGE_INTERVAL * max(1, receivers / MAX_PEERS_AT_FULL_RATE)
+
+
+def relayed_timeout(interval: timedelta) -> timedelta:
+    """Return the timeout of a sender whose reports are passed on twice.
+
+    `interval` is that of its reports; one of the three steps may fail once.
+    """
+    return interval + DIGEST_INTERVAL * 3 + DELIVERY_TIME
 
 
 def count_interval(gateways: int) -> timedelta:
--- a/libs/relay/src/verbenamux_relay/allowance.py
+++ b/libs/relay/src/verbenamux_relay/allowance.py
@@ -29,6 +29,9 @@
 # All gateways together may spend the rate of this long before they report it.
 UNREPORTED_WINDOW = timedelta(milliseconds=150)
 
+# The fraction of the rates that may be used is determined anew this often.
+RATE_UPDATE_INTERVAL = timedelta(milliseconds=50)
+
 Elapsed = Callable[[], timedelta]
 
 
@@ -62,6 +65,8 @@
         self._elapsed = elapsed
         self._peer_timeout = peer_timeout
         self._started_at = elapsed()
+        self._usable_fraction = 1.0
+        self._fraction_valid_until = elapsed()
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._peers_by_name: dict[str, _Peer] = {}
         self.spent_by_workspace: dict[str, float] = {}
@@ -187,12 +192,17 @@
 
     def _rate(self, workspace: Workspace) -> float:
         now = self._elapsed()
+        if now >= self._fraction_valid_until:
+            self._fraction_valid_until = now + RATE_UPDATE_INTERVAL
+            self._usable_fraction = self._find_usable_fraction(now)
+        return workspace.per_second * self._usable_fraction
+
+    def _find_usable_fraction(self, now: timedelta) -> float:
         recent = sum(
             now - peer.last_received_at < SHARE_RESERVATION_TIME
             for peer in self._peers_by_name.values()
         )
-        fraction = 1 - self.unresponsive_peers() / (recent + 1)
-        return workspace.per_second * fraction
+        return 1 - self.unresponsive_peers() / (recent + 1)
 
     def _refill(self, workspace: Workspace) -> _Bucket:
         now = self._elapsed()
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -14,7 +14,9 @@
     KeeperLoad,
     KeeperReport,
     ReadAsk,
+    UsageDigest,
     UsageNotice,
+    UsageWanted,
 )
 from verbenamux_http.client import parse_address
 from verbenamux_relay.allowance import Allowance
@@ -117,6 +119,7 @@
         self._confirmed_at: timedelta | None = None
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._moving_target_ids: set[str] = set()
+        self._reporter_rank: int | None = None
         self._removed_ids: OrderedDict[str, None] = OrderedDict()
         self.stop = StopPlan()
 
@@ -256,9 +259,27 @@
             asked=dict(self.demand.requests_by_model),
             age=self.allowance.age(),
         )
-        self.peers.send_usage(usage, is_leaving=self.stop.is_under_way)
+        self.peers.send_usage(
+            usage,
+            is_leaving=self.stop.is_under_way,
+            is_urgent=self.allowance.should_report_now(),
+        )
         self.allowance.mark_reported()
 
+    def pass_on_usage(self) -> None:
+        """Pass on the usage of other gateways, if this one is to."""
+        if not self.peers.send_digests():
+            return
+        rank = self.peers.reporter_rank()
+        if rank != self._reporter_rank:
+            self._log(
+                'usage_reporter_changed',
+                rank=rank,
+                peers=self.peers.count(),
+                is_mesh=self.peers.is_mesh(),
+            )
+            self._reporter_rank = rank
+
     def plan_moves(self, run: Callable[[Callable[[], object]], object]) -> None:
         """Start the moves that adapt model copies to demand.
 
@@ -304,6 +325,8 @@
             'catalog_age_seconds', configuration.confirmed_for.total_seconds()
         )
         gauge('peers_silent', self.allowance.unresponsive_peers())
+        rank = self.peers.reporter_rank()
+        gauge('usage_reporter_rank', -1 if rank is None else rank)
         for name, level in self._target_gauges():
             gauge(name, level)
         for service, budget in self._budget_by_service.items():
@@ -405,24 +428,34 @@
 
     def _handle_message(self, sender: bytes, message: AnyMessage) -> None:
         if isinstance(message, UsageNotice):
-            self._handle_usage(message)
+            usage = self.peers.read(message)
+            if usage is not None:
+                self._apply_usage(message.instance, usage, message.leaving)
+        elif isinstance(message, UsageDigest):
+            self._handle_digest(sender, message)
         elif isinstance(message, ReadAsk) and self.on_read_ask is not None:
             self.on_read_ask(sender, message)
 
-    def _handle_usage(self, notice: UsageNotice) -> None:
-        usage = self.peers.read(notice)
-        if usage is None:
-            return
+    def _handle_digest(self, sender: bytes, digest: UsageDigest) -> None:
+        newer, missed = self.peers.read_digest(digest)
+        for known in newer:
+            self._apply_usage(known.instance, known.usage, known.is_leaving)
+        if missed:
+            self.server.send(sender, UsageWanted(missed))
+
+    def _apply_usage(
+        self, instance: str, usage: Usage, is_leaving: bool
+    ) -> None:
         workspaces = self._catalog.workspaces() if self._catalog else {}
         self.allowance.handle_notice(
-            notice.instance,
+            instance,
             usage.spent,
             usage.left,
             workspaces,
-            notice.leaving,
+            is_leaving,
             usage.age,
         )
-        self.demand.handle_usage(notice.instance, usage)
+        self.demand.handle_usage(instance, usage)
 
 
 def _milliseconds_since(
--- a/libs/relay/src/verbenamux_relay/usage.py
+++ b/libs/relay/src/verbenamux_relay/usage.py
@@ -53,10 +53,12 @@
         *,
         wants_whole: bool = False,
         is_leaving: bool = False,
+        is_urgent: bool = False,
     ) -> UsageNotice:
         """Return the changes since the last report, and mark them reported.
 
-        `wants_whole` asks the peer in turn to report everything.
+        `wants_whole` asks the peer in turn to report everything, `is_urgent`
+        to pass this on at once.
         """
         reported = self._reported
         before = reported or Usage()
@@ -75,6 +77,7 @@
             leaving=is_leaving,
             age_ms=to_milliseconds(usage.age),
             version=usage.version,
+            urgent=is_urgent,
         )
 
 
