Keepers: a change of an engine's terms is one field to each gateway, told by one gateway

Cause: the terms of an engine hold the number of targets of its service, for the weight store's pace. Each engine that starts or ends changes them in all keepers, and each keeper sent a whole report to each gateway: 66 keepers to 68 gateways. At a start every gateway took itself for the first, as it had heard of no other one yet, and all informed all keepers four times a second, each with the count that it saw itself, so that the terms went back and forth. Change: terms are a field of a change. Just after its start a gateway counts the listed ones before it as responsive. Gateway number n informs a keeper after n seconds, and none informs one twice in a second.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -399,6 +399,7 @@
     store_loads_ready: bool | None = None
     ordered_ms: int = 0
     interval_ms: int = 500
+    terms: str | None = None
 
 
 class KeeperLeaving(Message, frozen=True):
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -30,7 +30,6 @@
     'service',
     'address',
     'data_centre',
-    'terms',
     'total_tokens',
     'keeper',
 )
@@ -43,6 +42,7 @@
     'in_memory',
     'is_ordering',
     'store_loads_ready',
+    'terms',
 )
 # Fields that a change carries only if they differ from the last report.
 OPTIONAL_CHANGE_FIELDS = ('adapters', *IMMEDIATE_FIELDS)
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -98,7 +98,7 @@
             setup.keeper_port,
             routing_state.target_table,
             clock.elapsed,
-            is_first=self.peers.is_first,
+            rank=self.peers.rank,
             on_message=self._handle_keeper_message,
         )
         self.allowance = Allowance(clock.elapsed, self.peers.peer_timeout)
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -29,8 +29,10 @@
 # GREETING_ROUNDS intervals.
 KEEPER_GREETING_INTERVAL = timedelta(milliseconds=250)
 GREETING_ROUNDS = 8
-# Gateways other than the first inform a keeper only after this delay.
+# A gateway informs a keeper after this delay for each gateway before it.
 INFORM_DELAY = timedelta(seconds=1)
+# A keeper that was informed is not informed again before this time.
+INFORM_INTERVAL = timedelta(seconds=1)
 # Length of the digest that identifies the terms of an engine.
 TERMS_DIGEST_BYTES = 6
 
@@ -45,23 +47,25 @@
         target_table: TargetTable,
         elapsed: Callable[[], timedelta],
         *,
-        is_first: Callable[[], bool],
+        rank: Callable[[], int],
         on_message: Callable[[AnyMessage], None],
     ) -> None:
         """Start without links to keepers.
 
         `instance` identifies this run of the gateway, `port` is where keepers
-        listen; `on_message` receives their messages.
+        listen; `on_message` receives their messages. `rank` returns how many
+        gateways come before this one.
         """
         self._instance = instance
         self._port = port
         self._target_table = target_table
         self._elapsed = elapsed
-        self._is_first = is_first
+        self._rank = rank
         self._handle_message = on_message
         self._catalog: Catalog | None = None
         self._links_by_host: dict[str, PeerLink] = {}
         self._uninformed_since: dict[str, timedelta] = {}
+        self._informed_at: dict[str, timedelta] = {}
         self._notice_by_service: dict[str, EngineNotice] = {}
         self._rounds = count()
 
@@ -101,7 +105,7 @@
         for host in self._links_by_host.keys() - hosts:
             self._links_by_host.pop(host).close()
         for target_id in self._uninformed_since.keys() - targets.keys():
-            self._uninformed_since.pop(target_id)
+            self._forget_uninformed(target_id)
 
     def notify(self) -> None:
         """Greet keepers, and send them the limits of their engines.
@@ -155,21 +159,30 @@
     ) -> None:
         """Send a keeper the limits of its engine, if it lacks them.
 
-        Load pattern: many gateways adopt configurations in quick succession.
-        The first one informs keepers; others only if that had no effect.
+        Load pattern: many gateways adopt configurations in quick succession,
+        or all start at once. The first one informs keepers; each other one only
+        if that had no effect.
         """
         target_id = target.entry.target_id
         if target.report is not None and target.report.terms == notice.terms:
-            self._uninformed_since.pop(target_id, None)
+            self._forget_uninformed(target_id)
             return
         since = self._uninformed_since.setdefault(target_id, now)
-        if self._is_first() or now - since >= INFORM_DELAY:
-            self._send(target, notice)
+        next_at = max(
+            since + INFORM_DELAY * self._rank(),
+            self._informed_at.get(target_id, since - INFORM_INTERVAL)
+            + INFORM_INTERVAL,
+        )
+        if now >= next_at and self._send(target, notice):
+            self._informed_at[target_id] = now
+
+    def _forget_uninformed(self, target_id: str) -> None:
+        self._uninformed_since.pop(target_id, None)
+        self._informed_at.pop(target_id, None)
 
-    def _send(self, target: Target, message: Message) -> None:
+    def _send(self, target: Target, message: Message) -> bool:
         link = self.link_of(target.entry.target_id)
-        if link is not None:
-            link.send(message)
+        return link is not None and link.send(message)
 
     def _notices(self) -> dict[str, EngineNotice]:
         """Return the notice for keepers, by service."""
@@ -247,6 +260,7 @@
         pending=_updated_names(message.pending, report.pending),
         on_disk=_updated_names(message.on_disk, report.on_disk),
         in_memory=_updated_names(message.in_memory, report.in_memory),
+        terms=report.terms if message.terms is None else message.terms,
         is_ordering=_updated_flag(
             message.is_ordering, current=report.is_ordering
         ),
--- a/libs/relay/src/verbenamux_relay/peering.py
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -89,6 +89,7 @@
         self._version = 0
         self._is_urgent = False
         self._digest_due_at = elapsed()
+        self._started_at = elapsed()
 
     def set_members(self, members_by_name: Mapping[str, Member]) -> None:
         """Adopt the gateways that the store lists."""
@@ -218,7 +219,18 @@
 
     def is_first(self) -> bool:
         """Return whether this gateway is the first responsive one by name."""
-        return all(self._own.name < peer.name for peer in self._responsive())
+        return not self.rank()
+
+    def rank(self) -> int:
+        """Return how many responsive gateways come before this one by name.
+
+        Just after the start all that the store lists may be responsive.
+        """
+        is_starting = self._elapsed() - self._started_at < self.peer_timeout()
+        candidates = (
+            self._by_name.values() if is_starting else self._responsive()
+        )
+        return sum(peer.name < self._own.name for peer in candidates)
 
     def reporter_rank(self) -> int | None:
         """Return this gateway's place among the reporters, None if not one."""
--- a/libs/relay/src/verbenamux_relay/usage.py
+++ b/libs/relay/src/verbenamux_relay/usage.py
@@ -11,9 +11,10 @@
 from datetime import timedelta
 from typing import TypeVar
 
-from verbenamux_contracts.clock import milliseconds, to_milliseconds
 from verbenamux_contracts.messages import UsageNotice
 
+MILLISECOND = timedelta(milliseconds=1)
+
 Amount = TypeVar('Amount', int, float)
 
 
@@ -75,7 +76,7 @@
             waiting=_changed(before.waiting, usage.waiting),
             asked=_changed(before.asked, usage.asked),
             leaving=is_leaving,
-            age_ms=to_milliseconds(usage.age),
+            age_ms=usage.age // MILLISECOND,
             version=usage.version,
             urgent=is_urgent,
         )
@@ -103,7 +104,7 @@
             left=notice.left,
             waiting={**current.waiting, **notice.waiting},
             asked={**current.asked, **notice.asked},
-            age=milliseconds(notice.age_ms),
+            age=MILLISECOND * notice.age_ms,
             version=notice.version,
         )
         return self._received
--- a/tests/relay/test_peering.py
+++ b/tests/relay/test_peering.py
@@ -52,6 +52,15 @@
     assert peers.is_first()
 
 
+def test_just_after_the_start_listed_gateways_come_first(peers, clock):
+    """All start at once: none of them may take itself for the first."""
+    assert peers.rank() == 2
+    clock.advance(peers.peer_timeout())
+    assert peers.is_first()
+    peers.read(notice('g1'))
+    assert peers.rank() == 1
+
+
 def test_a_leaving_peer_is_not_the_leader(peers):
     peers.read(notice('g1'))
     peers.read(notice('g1', 2, leaving=True))
