--- a/libs/relay/src/verbenamux_relay/peering.py
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -22,6 +22,7 @@
 )
 from verbenamux_relay.usage import Usage, UsageReader, UsageReporter
 from verbenamux_relay.usage_digest import (
+    MAX_INSTANCES,
     REPORTERS,
     DigestReader,
     DigestWriter,
@@ -30,9 +31,6 @@
 )
 from verbenamux_runtime.peers import PeerLink
 
-# Gateway instances whose usage is remembered, including ended ones.
-MAX_READERS = 2000
-
 Connect = Callable[[str, str, Callable[[AnyMessage], None]], PeerLink]
 
 
@@ -177,7 +175,7 @@
     def read(self, notice: UsageNotice) -> Usage | None:
         """Return a peer's whole usage; None if it is old or incomplete."""
         reader = self._readers.setdefault(notice.instance, UsageReader())
-        if len(self._readers) > MAX_READERS:
+        if len(self._readers) > MAX_INSTANCES:
             self._readers.popitem(last=False)
         usage = reader.read(notice)
         peer = self._by_name.get(notice.sender)
