Processor time: read engines, greet keepers and wake up less often in a large fleet

Each gateway greeted each keeper every 2 s, 2,200 messages a second in all. Each of 134 processes woke up 40 times a second for the log and for the loop's delay.

--- a/libs/contracts/src/verbenamux_contracts/report_timing.py
+++ b/libs/contracts/src/verbenamux_contracts/report_timing.py
@@ -18,10 +18,14 @@
 DIGEST_INTERVAL = timedelta(milliseconds=500)
 # A keeper reports changed counts no more often than this.
 MIN_COUNT_INTERVAL = timedelta(milliseconds=150)
+# A keeper reads its engine this often between two reports of counts.
+READS_PER_REPORT = 3
 # From this many gateways on, counts are reported less often in proportion.
 MAX_GATEWAYS_AT_FULL_RATE = 10
 # A keeper reports at this interval when nothing changes, in a small fleet.
 MIN_IDLE_INTERVAL = timedelta(milliseconds=500)
+# A gateway greets each keeper at this interval, so that it gets reports.
+GREETING_INTERVAL = timedelta(seconds=4)
 # A process may be paused for this long without being considered unresponsive.
 MAX_PAUSE = timedelta(milliseconds=500)
 # Time for the network, and for the periodic task that sends or receives.
@@ -48,6 +52,14 @@
     return MIN_COUNT_INTERVAL * max(1, gateways / MAX_GATEWAYS_AT_FULL_RATE)
 
 
+def engine_read_interval(gateways: int) -> timedelta:
+    """Return the interval at which a keeper reads its engine.
+
+    Load pattern: a large fleet, whose gateways are told of counts less often.
+    """
+    return max(MIN_COUNT_INTERVAL, count_interval(gateways) / READS_PER_REPORT)
+
+
 def idle_interval(gateways: int) -> timedelta:
     """Return the interval of a keeper's reports when nothing changes.
 
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -19,6 +19,7 @@
     LoadReply,
     ModelAsk,
 )
+from verbenamux_contracts.report_timing import engine_read_interval
 from verbenamux_keeper.adapters import (
     ADAPTER_READ_INTERVAL,
     AdapterOrders,
@@ -30,9 +31,7 @@
 from verbenamux_keeper.pacing import StoreLoadLimiter
 from verbenamux_keeper.reporting import Reporter, Send
 
-# The engine is read at this interval, and more often while it carries out an
-# order.
-READ_INTERVAL = timedelta(milliseconds=150)
+# The engine is read more often while it carries out an order.
 ORDER_READ_INTERVAL = timedelta(milliseconds=40)
 MODEL_LOAD_TIMEOUT = timedelta(seconds=20)
 # A model loaded within this time is not evicted: requests wait for it.
@@ -141,7 +140,7 @@
             interval = (
                 ORDER_READ_INTERVAL
                 if self.state.loading_model
-                else READ_INTERVAL
+                else engine_read_interval(self._reporter.gateways())
             )
             self._clock.sleep(interval)
 
--- a/libs/keeper/src/verbenamux_keeper/reporting.py
+++ b/libs/keeper/src/verbenamux_keeper/reporting.py
@@ -18,10 +18,15 @@
     KeeperReport,
     LoadReply,
 )
-from verbenamux_contracts.report_timing import count_interval, idle_interval
+from verbenamux_contracts.report_timing import (
+    GREETING_INTERVAL,
+    count_interval,
+    idle_interval,
+    silence_timeout,
+)
 
 # A gateway that has sent no hello for this long gets no reports.
-SUBSCRIBER_TIMEOUT = timedelta(seconds=8)
+SUBSCRIBER_TIMEOUT = silence_timeout(GREETING_INTERVAL)
 
 # Fields that a change can't carry: they need a whole report.
 WHOLE_REPORT_FIELDS = (
@@ -82,6 +87,10 @@
         self._last_received_at_by_sender[sender] = self._clock.elapsed()
         return needs_whole_report
 
+    def gateways(self) -> int:
+        """Return how many gateways get reports."""
+        return len(self._last_received_at_by_sender)
+
     def send_changes(self, report: KeeperReport) -> None:
         """Send the changes in a report, if that is due."""
         last_report = self._last_report
@@ -124,11 +133,10 @@
 
     def _with_revision(self, report: KeeperReport) -> KeeperReport:
         """Return a report with its revision and its promised interval."""
-        gateways = len(self._last_received_at_by_sender)
         return msgspec.structs.replace(
             report,
             revision=self._revision,
-            interval_ms=to_milliseconds(idle_interval(gateways)),
+            interval_ms=to_milliseconds(idle_interval(self.gateways())),
         )
 
     def _send_to_all(
@@ -154,7 +162,7 @@
         report: KeeperReport,
         last_report: KeeperReport,
     ) -> timedelta:
-        gateways = len(self._last_received_at_by_sender)
+        gateways = self.gateways()
         is_unchanged = not _differences(
             report, last_report, (*COUNT_FIELDS, *OPTIONAL_CHANGE_FIELDS)
         )
--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -20,6 +20,7 @@
     ModelSize,
     encode_message,
 )
+from verbenamux_contracts.report_timing import GREETING_INTERVAL
 from verbenamux_relay.catalog import Catalog, EngineTerms, Service
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import Target, TargetReport, TargetTable
@@ -28,7 +29,7 @@
 # Unresponsive keepers are greeted at this interval, reporting ones every
 # GREETING_ROUNDS intervals.
 KEEPER_GREETING_INTERVAL = timedelta(milliseconds=250)
-GREETING_ROUNDS = 8
+GREETING_ROUNDS = GREETING_INTERVAL // KEEPER_GREETING_INTERVAL
 # A gateway informs a keeper after this delay for each gateway before it.
 INFORM_DELAY = timedelta(seconds=1)
 # A keeper that was informed is not informed again before this time.
--- a/libs/runtime/src/verbenamux_runtime/logs.py
+++ b/libs/runtime/src/verbenamux_runtime/logs.py
@@ -21,7 +21,7 @@
 
 # Some seconds of a busy gateway, under 2 MB.
 MAX_LINES = 4000
-FLUSH_INTERVAL = timedelta(milliseconds=50)
+FLUSH_INTERVAL = timedelta(milliseconds=100)
 # A writable pipe takes this many bytes without blocking (PIPE_BUF).
 ATOMIC_WRITE_BYTES = 4096
 # Values of `outcome` that mark a line as routine.
--- a/tests/contracts/test_report_timing.py
+++ b/tests/contracts/test_report_timing.py
@@ -6,6 +6,7 @@
 
 from verbenamux_contracts.report_timing import (
     count_interval,
+    engine_read_interval,
     idle_interval,
     max_load_age,
     silence_timeout,
@@ -35,3 +36,9 @@
 def test_an_idle_keeper_reports_no_more_often_than_a_busy_one():
     for gateways in FLEETS:
         assert idle_interval(gateways) >= count_interval(gateways)
+
+
+def test_an_engine_is_read_before_each_report_and_not_far_more_often():
+    for gateways in FLEETS:
+        reads = count_interval(gateways) / engine_read_interval(gateways)
+        assert 1 <= reads <= 3
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -15,12 +15,13 @@
     LoadReply,
     ModelAsk,
 )
+from verbenamux_contracts.report_timing import engine_read_interval
 from verbenamux_keeper.adapters import MAX_RUN_REPORT_DELAY
 from verbenamux_keeper.engine import (
     EngineState,
 )
 from verbenamux_keeper.holding import fits
-from verbenamux_keeper.keeper import READ_INTERVAL, Keeper
+from verbenamux_keeper.keeper import Keeper
 from verbenamux_keeper.pacing import StoreLoadLimiter
 
 
@@ -68,7 +69,7 @@
     def read_and_report():
         sent.clear()
         for _ in range(20):
-            clock.advance(READ_INTERVAL)
+            clock.advance(engine_read_interval(1))
             keeper.orders.refresh()
             keeper.publish_changes()
             keeper.receive(b'gateway', KeeperHello('g', wants_report=True))
--- a/tests/relay/test_keepers.py
+++ b/tests/relay/test_keepers.py
@@ -207,7 +207,7 @@
         gateway.keepers.notify()
     assert len(gateway.sent_of_kind(KeeperHello)) == 5
     gateway.report()
-    for _ in range(8):
+    for _ in range(GREETING_ROUNDS):
         gateway.keepers.notify()
     assert len(gateway.sent_of_kind(KeeperHello)) == 6
     clock.advance(timedelta(seconds=2))
