--- /dev/null
+++ b/tests/platform/test_repeated_answers.py
@@ -0,0 +1,67 @@
+"""A target that writes its earlier answer once more on a kept connection."""
+
+import pytest
+
+from relay.world import PROOF, FakeTarget, World
+from verbenamux_relay.catalog import RouteKind
+
+REFUSAL = b'HTTP/1.1 503 No\r\nNot-Executed: 1\r\n%bContent-Length: 0\r\n\r\n'
+SUCCESS = b'HTTP/1.1 200 OK\r\n%b%%bContent-Length: 5\r\n\r\nfirst' % PROOF
+OWN = b'HTTP/1.1 200 OK\r\n%b%%bContent-Length: 6\r\n\r\nsecond' % PROOF
+
+
+class RepeatingTarget(FakeTarget):
+    """Answers a request, and before the next one's answer does so again."""
+
+    def __init__(self, answer, *, names_requests):
+        super().__init__()
+        self.first_answer = answer
+        self.names_requests = names_requests
+
+    def answer(self, opened):
+        own_id = self.requests[-1].headers.get('Attempt-Id').encode()
+        if len(self.requests) == 1:
+            self.repeated = self.first_answer % self.naming(own_id)
+            opened.sendall(self.repeated)
+            return True
+        opened.sendall(self.repeated + OWN % (b'Attempt-Id: %b\r\n' % own_id))
+        return True
+
+    def naming(self, own_id):
+        return b'Attempt-Id: %b\r\n' % own_id if self.names_requests else b''
+
+
+def second_reply(answer, kind, *, names_requests):
+    world = World(
+        RepeatingTarget(answer, names_requests=names_requests), kind=kind
+    )
+    context = world.context()
+    world.ask({'Attempt-Id': 'one'}, context=context)
+    reply = world.ask({'Attempt-Id': 'two'}, context=context)
+    assert len(world.sent()) == 2
+    return reply
+
+
+ANSWERS = [
+    pytest.param(REFUSAL, id='refusal'),
+    pytest.param(SUCCESS, id='success'),
+]
+KINDS = [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT]
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('answer', ANSWERS)
+def test_an_earlier_answer_that_names_its_request_is_not_passed_on(
+    answer, kind
+):
+    reply = second_reply(answer, kind, names_requests=True)
+    assert reply.status == 502
+    assert b'first' not in reply.body
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('answer', ANSWERS)
+def test_an_earlier_answer_that_names_no_request_is_not_passed_on(answer, kind):
+    reply = second_reply(answer, kind, names_requests=False)
+    assert reply.status == 502
+    assert b'first' not in reply.body
