Read once more: one piece of code where there were two, and none that nothing calls

Behaviour as it was. DigestWriter.forget_all was called by nothing. A usage is made from a notice in one place, whether it came straight or in a digest, and a digest is compared with the own data centre once. UsageBook.record drops an older usage instead of putting the newer one back.

--- a/libs/relay/src/verbenamux_relay/keepers.py
+++ b/libs/relay/src/verbenamux_relay/keepers.py
@@ -21,7 +21,7 @@
     encode_message,
 )
 from verbenamux_contracts.report_timing import GREETING_INTERVAL
-from verbenamux_relay.catalog import Catalog, EngineTerms, Service
+from verbenamux_relay.catalog import Catalog, EngineTerms
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import Target, TargetReport, TargetTable
 from verbenamux_runtime.peers import PeerLink
@@ -196,24 +196,16 @@
             if is_serving(target, now)
         )
         for service in self._catalog.services_by_name.values():
-            if service.engine is not None:
-                self._update_notice(
-                    self._catalog.version, service, serving[service.name]
+            notice = self._notice_by_service.get(service.name)
+            targets = serving[service.name]
+            if service.engine is not None and (
+                notice is None or notice.targets != targets
+            ):
+                self._notice_by_service[service.name] = _engine_notice(
+                    self._catalog.version, service.engine, targets
                 )
         return self._notice_by_service
 
-    def _update_notice(
-        self, version: int, service: Service, targets: int
-    ) -> None:
-        """Make the notice of a service anew if its content changed."""
-        notice = self._notice_by_service.get(service.name)
-        if service.engine is not None and (
-            notice is None or notice.targets != targets
-        ):
-            self._notice_by_service[service.name] = _engine_notice(
-                version, service.engine, targets
-            )
-
 
 def decode_report(message: KeeperReport, now: timedelta) -> TargetReport:
     """Return a keeper's report as a gateway stores it."""
--- a/libs/relay/src/verbenamux_relay/peering.py
+++ b/libs/relay/src/verbenamux_relay/peering.py
@@ -28,6 +28,7 @@
     DigestWriter,
     KnownUsage,
     UsageBook,
+    known_usage,
 )
 from verbenamux_runtime.peers import PeerLink
 
@@ -186,13 +187,7 @@
             self._record_sign_of_life(notice.sender, notice.leaving)
         if usage is None:
             return None
-        known = KnownUsage(
-            notice.sender,
-            notice.instance,
-            usage,
-            notice.leaving,
-            is_relayed=False,
-        )
+        known = known_usage(notice, usage, is_relayed=False)
         self._is_urgent |= notice.urgent
         return usage if self._usage_book.record(known) else None
 
@@ -200,9 +195,8 @@
         self, digest: UsageDigest
     ) -> tuple[tuple[KnownUsage, ...], tuple[str, ...]]:
         """Return the newer usages in a digest, and instances to ask for."""
-        usages, missed = self._digest_reader.read(
-            digest, self._own.member.data_centre
-        )
+        is_relayed = digest.data_centre != self._own.member.data_centre
+        usages, missed = self._digest_reader.read(digest, is_relayed=is_relayed)
         newer = tuple(
             known
             for known in usages
@@ -211,7 +205,6 @@
         )
         for known in newer:
             self._record_sign_of_life(known.sender, known.is_leaving)
-        is_relayed = digest.data_centre != self._own.member.data_centre
         self._is_urgent |= digest.urgent and is_relayed
         return newer, missed
 
--- a/libs/relay/src/verbenamux_relay/usage_digest.py
+++ b/libs/relay/src/verbenamux_relay/usage_digest.py
@@ -37,6 +37,15 @@
     is_relayed: bool
 
 
+def known_usage(
+    notice: UsageNotice, usage: Usage, *, is_relayed: bool
+) -> KnownUsage:
+    """Return the usage that a notice completes."""
+    return KnownUsage(
+        notice.sender, notice.instance, usage, notice.leaving, is_relayed
+    )
+
+
 class UsageBook:
     """The newest usage of every other gateway instance."""
 
@@ -46,15 +55,16 @@
 
     def record(self, known: KnownUsage) -> bool:
         """Record a usage; return whether it is newer than the known one."""
-        previous = self._known_by_instance.pop(known.instance, None)
-        is_newer = previous is None or (
-            known.usage.version > previous.usage.version
-        )
-        newest = known if previous is None or is_newer else previous
-        self._known_by_instance[known.instance] = newest
+        previous = self._known_by_instance.get(known.instance)
+        if previous is not None and (
+            known.usage.version <= previous.usage.version
+        ):
+            return False
+        self._known_by_instance[known.instance] = known
+        self._known_by_instance.move_to_end(known.instance)
         if len(self._known_by_instance) > MAX_INSTANCES:
             self._known_by_instance.popitem(last=False)
-        return is_newer
+        return True
 
     def current(self) -> tuple[KnownUsage, ...]:
         """Return the newest usage of each instance."""
@@ -86,10 +96,6 @@
             if reporter is not None:
                 reporter.forget()
 
-    def forget_all(self) -> None:
-        """Send everything next time."""
-        self.forget(tuple(self._reporter_by_instance))
-
     def _notice(self, known: KnownUsage) -> UsageNotice:
         instance = known.instance
         reporter = self._reporter_by_instance.get(instance)
@@ -108,26 +114,17 @@
         self._readers: OrderedDict[tuple[str, str], UsageReader] = OrderedDict()
 
     def read(
-        self, digest: UsageDigest, own_data_centre: str
+        self, digest: UsageDigest, *, is_relayed: bool
     ) -> tuple[tuple[KnownUsage, ...], tuple[str, ...]]:
         """Return the usages in a digest, and instances to be asked for."""
-        is_relayed = digest.data_centre != own_data_centre
         usages: list[KnownUsage] = []
         missed: list[str] = []
         for notice in digest.notices:
             usage = self._reader(digest.sender, notice.instance).read(notice)
             if usage is None:
                 missed.append(notice.instance)
-                continue
-            usages.append(
-                KnownUsage(
-                    notice.sender,
-                    notice.instance,
-                    usage,
-                    notice.leaving,
-                    is_relayed,
-                ),
-            )
+            else:
+                usages.append(known_usage(notice, usage, is_relayed=is_relayed))
         return tuple(usages), tuple(missed)
 
     def _reader(self, sender: str, instance: str) -> UsageReader:
