--- a/libs/ctl/src/verbenamux_ctl/explaining.py
+++ b/libs/ctl/src/verbenamux_ctl/explaining.py
@@ -101,10 +101,20 @@
     return (
         f'target {line["target"]} failed it: {line["cause"]}; the target has '
         f'now failed {line["in_row"]} times in a row, at a rate of '
-        f'{line["failure_rate"]}'
+        f'{line["failure_rate"]}{_format_arrival(line)}'
     )
 
 
+def _format_arrival(line: Line) -> str:
+    """Return what had arrived, which tells whether the answer had begun."""
+    if 'sent_ms' not in line:
+        return ''
+    arrived = 'no head'
+    if line['has_head']:
+        arrived = 'events' if line['has_event'] else 'a head and no event'
+    return f'; {arrived} had arrived {line["sent_ms"]} ms after the send'
+
+
 def _describe_end(line: Line) -> str:
     sentence = (
         f'at {line["instance"]} the request on route {line["route"]} for '
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -407,7 +407,7 @@
         _counted(target, in_flight, context.sequence),
     ):
         outcome = send(sent)
-    _record_send_outcome(job, target, outcome, context)
+    _record_send_outcome(sent, outcome, context)
     return outcome
 
 
@@ -436,12 +436,12 @@
 
 
 def _record_send_outcome(
-    job: Job,
-    target: Target,
+    sent: Send,
     outcome: Outcome,
     context: RelayContext,
 ) -> None:
     """Update the job and its target with the outcome of a send."""
+    job, target = sent.job, sent.target
     target_id = target.entry.target_id
     job.steps.append(f'{target_id}: {outcome.ending.value} {outcome.cause}')
     context.outcome_context.metrics.count(
@@ -461,7 +461,7 @@
     elif outcome.is_replaced:
         _record_replaced(job, target, context)
     elif outcome.ending is not Ending.NOT_RUN or outcome.is_unreachable:
-        _record_failure(job, target, outcome, context)
+        _record_failure(sent, outcome, context)
 
 
 def _record_replaced(job: Job, target: Target, context: RelayContext) -> None:
@@ -476,12 +476,13 @@
 
 
 def _record_failure(
-    job: Job,
-    target: Target,
+    sent: Send,
     outcome: Outcome,
     context: RelayContext,
 ) -> None:
-    target.record_failure(context.now(), outcome.is_unreachable)
+    job, target = sent.job, sent.target
+    now = context.now()
+    target.record_failure(now, outcome.is_unreachable)
     context.send_context.pool.drop(target.entry.address)
     context.outcome_context.log(
         'target_failed',
@@ -490,6 +491,11 @@
         cause=outcome.cause,
         failure_rate=round(target.failure_rate, 3),
         in_row=target.consecutive_failures,
+        sent_ms=to_milliseconds(now - sent.in_flight.sent_at),
+        has_head=sent.in_flight.has_head,
+        has_event=sent.in_flight.is_started,
+        model=job.terms.model_key,
+        parts=[part.part_id for part in job.terms.parts],
     )
 
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -209,6 +209,7 @@
     """Read the answer and classify it."""
     head = _await(sent, exchange.read_head, sent.context.clock.elapsed())
     sent.record_received()
+    sent.in_flight.has_head = True
     terms = sent.context.dialect.read_answer(head)
     _record_load(sent, terms)
     if terms.request_id not in {None, sent.job.terms.request_id}:
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -77,12 +77,15 @@
     """A request of this gateway at a target.
 
     `last_received_at` is when data for it was last received from the target.
+    `has_head` is whether the answer's head arrived, `is_started` whether its
+    first event did.
     """
 
     sent_at: timedelta
     last_received_at: timedelta
     missing_tokens: int
     total_tokens: int
+    has_head: bool = False
     is_started: bool = False
 
 
--- a/tests/ctl/test_explaining.py
+++ b/tests/ctl/test_explaining.py
@@ -73,3 +73,18 @@
     (sentence,) = explain(read_lines(path, 'id-8'))
     assert 'at the stage waiting_for_model, 5300 ms after it came' in sentence
     assert '0 sends reached a target, the last to none' in sentence
+
+
+FAILED = """{"time":"t1","event":"target_failed","instance":"gateway-0",\
+"request_id":"id-9","target":"i-1","cause":"closed","failure_rate":0.15,\
+"in_row":0,"sent_ms":116,"has_head":true,"has_event":false}
+"""
+
+
+def test_a_failed_send_is_explained_with_what_had_arrived(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'gateway.log'
+    path.write_text(FAILED)
+    (sentence,) = explain(read_lines(path, 'id-9'))
+    assert 'a head and no event had arrived 116 ms after the send' in sentence
