--- /dev/null
+++ b/tests/platform/test_query_of_death.py
@@ -0,0 +1,89 @@
+"""Requests that crash the target that begins to answer them."""
+
+from itertools import count
+
+import gevent
+
+from relay.world import STREAM_HEAD, FakeTarget, World, event
+from verbenamux_relay.catalog import RouteKind
+
+DEADLY_PART = 'dead1'
+SHARED_PART = 'a1'
+END = b'0\r\n\r\n'
+MAX_CRASHES = 5
+
+
+class CrashingTarget(FakeTarget):
+    """Ends as it begins to answer a request with the deadly part."""
+
+    def __init__(self):
+        super().__init__()
+        self.opened = []
+
+    def serve(self, opened, peer):
+        self.opened.append(opened)
+        super().serve(opened, peer)
+
+    def answer(self, opened):
+        opened.sendall(STREAM_HEAD)
+        if DEADLY_PART not in self.requests[-1].headers.get('Prompt-Prefix'):
+            opened.sendall(event(1) + END)
+            return True
+        gevent.sleep(0.01)
+        self.server.stop(timeout=0)
+        for connection in self.opened:
+            connection.close()
+        return False
+
+
+def prompt(*parts):
+    return {'Prompt-Prefix': ','.join(f'{part}:100' for part in parts)}
+
+
+def poisoned_world(target_count=12):
+    return World(
+        *(CrashingTarget() for _ in range(target_count)),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+    )
+
+
+def crashed(world):
+    return [
+        target
+        for target in world.targets.values()
+        if not target.server.started
+    ]
+
+
+def test_requests_with_a_part_that_crashes_targets_stop_reaching_them():
+    """Issue 28: no two requests were alike, and one part crashed 26 targets."""
+    world = poisoned_world()
+    context = world.context()
+    numbers = count()
+    for _ in range(MAX_CRASHES):
+        sound = world.ask(
+            prompt(SHARED_PART, f'own{next(numbers)}'), context=context
+        )
+        assert sound.is_complete
+        assert sound.status == 200
+        world.ask(
+            prompt(SHARED_PART, DEADLY_PART, f'own{next(numbers)}'),
+            context=context,
+        )
+    assert len(crashed(world)) < MAX_CRASHES
+    sent_count = len(world.sent())
+    refused = world.ask(
+        prompt(SHARED_PART, DEADLY_PART, 'last'), context=context
+    )
+    assert refused.status == 503
+    assert refused.headers.get('Retry-After') is None
+    assert len(world.sent()) == sent_count
+
+
+def test_a_request_whose_target_crashed_under_it_crashes_no_second_one():
+    """Issue 28: 9 of 22 requests ended two targets or more."""
+    world = poisoned_world()
+    reply = world.ask(prompt(SHARED_PART, DEADLY_PART, 'own'))
+    assert reply.status == 502
+    assert len(crashed(world)) == 1
