--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -1,6 +1,5 @@
 """A relaying gateway: its routing state, notices to peers, and tasks."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -42,8 +41,6 @@
 
 # Interval at which the planner looks for better placements.
 PLAN_INTERVAL = timedelta(milliseconds=400)
-# Ids of removed targets that are remembered.
-MAX_REMOVED_IDS = 1000
 # Removed targets are kept this long for answers still in progress.
 REMOVED_RETENTION = timedelta(seconds=10)
 # One in this many targets may be loading a model for the planner at a time.
@@ -120,7 +117,6 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._moving_target_ids: set[str] = set()
         self._reporter_rank: int | None = None
-        self._removed_ids: OrderedDict[str, None] = OrderedDict()
         self.stop = StopPlan()
 
     def adopt(self, catalog: Catalog) -> None:
@@ -209,9 +205,6 @@
         `update` is how the registry change became known; without it, an engine
         with another id answers at its address.
         """
-        self._removed_ids[target_id] = None
-        if len(self._removed_ids) > MAX_REMOVED_IDS:
-            self._removed_ids.popitem(last=False)
         now = self._clock.elapsed()
         until = lapse_until(update, now, self.setup.leaving) if update else now
         self.routing_state.target_table.mark_removed(target_id, now, until)
@@ -408,10 +401,11 @@
         """
         catalog = self._catalog
         engine = catalog.engine_of(message.service) if catalog else None
-        if engine is None or message.target_id in self._removed_ids:
+        target_table = self.routing_state.target_table
+        if engine is None or target_table.was_removed(message.target_id):
             return
         address = parse_address(message.address)
-        for other in tuple(self.routing_state.target_table.by_id.values()):
+        for other in tuple(target_table.by_id.values()):
             if other.entry.address == address:
                 self.remove_target(other.entry.target_id)
         self.put_target(
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -1,5 +1,6 @@
 """State of each target as a gateway knows it."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -23,6 +24,8 @@
 # A target at whose address another one answers gets no requests for this long;
 # the registry drops its entry after three missed check-ins.
 REPLACED_COOLDOWN = timedelta(seconds=5)
+# Ids of removed targets that are remembered.
+MAX_REMOVED_IDS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +223,7 @@
     def __init__(self) -> None:
         """Start with no targets."""
         self.by_id: dict[str, Target] = {}
+        self._removed_ids: OrderedDict[str, None] = OrderedDict()
 
     def add_or_update(self, entry: TargetEntry, now: timedelta) -> bool:
         """Add or update an entry; return whether the target is new.
@@ -263,11 +267,18 @@
         serves_until: timedelta,
     ) -> None:
         """Record that the registry no longer lists a target."""
+        self._removed_ids[target_id] = None
+        if len(self._removed_ids) > MAX_REMOVED_IDS:
+            self._removed_ids.popitem(last=False)
         target = self.by_id.get(target_id)
         if target is not None and target.removed_at is None:
             target.removed_at = now
             target.serves_until = serves_until
 
+    def was_removed(self, target_id: str) -> bool:
+        """Return whether a target was removed lately."""
+        return target_id in self._removed_ids
+
     def forget(self, target_id: str) -> None:
         """Drop a target."""
         self.by_id.pop(target_id, None)
