Relay: quarantine prompt parts that crash the targets that begin on them

Cause: a target's end counted against the target alone. Nothing linked the ends to what the requests held, on one gateway or over the fleet, and the request that ended a target was sent to the next one. The class: a retry or a new request that carries its failure along (query of death). Ruled out: sending again alone (22 requests caused 31 ends); overload and orders (at each end one request had a head and no event, and all of these had the part; 2 of 350 others broke so). Change: a target that ended between the head and the first event of an answer is a crash, if it takes no connection after that. Gateways tell each other crashes, answers that began with suspected parts, and verdicts, with the usage that they report anyway; verdicts are kept in the store. Each crash is attributed to the part that crashes targets most often, and a sequential probability ratio test convicts. A prompt with a convicted part gets 503 at once and no Retry-After. A request whose target crashed under it is sent again only if all of its parts were answered lately. One request in the fleet probes after 1 min, then ever rarer. Why it works: a conviction takes two crashes of a part without answers; the second is known everywhere within a report, before the fifth. Before: test_query_of_death.py failed, 10 targets ended by 5 requests and 2 by one. After: passes; without reports the state machine's check fails.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -444,6 +444,43 @@
     cause: str = ''
 
 
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A target that ended as it began to answer a request.
+
+    `crash_id` names one lifetime of the target. `parts` are the parts of the
+    prompt that other requests may share, in its order.
+    """
+
+    crash_id: str
+    workspace: str
+    parts: tuple[str, ...]
+
+
+class Verdict(msgspec.Struct, frozen=True, array_like=True):
+    """Whether requests with a prompt part are refused.
+
+    An odd `version` is a conviction, an even one a release; the higher one
+    holds, and a probe raises it by two. Below a number of `workspaces` only
+    their requests are refused.
+    """
+
+    version: int
+    workspaces: tuple[str, ...] = ()
+
+
+class CrashEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway knows of prompt parts that crash targets.
+
+    `crashes` are those it saw itself, `answers` count the answers with a
+    suspected part that began at its targets since it learned of the first
+    crash. `verdicts` are all that it knows, by part.
+    """
+
+    crashes: tuple[CrashNotice, ...] = ()
+    answers: dict[str, int] = {}
+    verdicts: dict[str, Verdict] = {}
+
+
 class UsageNotice(Message, frozen=True):
     """A gateway reports its spending and its waiting requests to another.
 
@@ -454,7 +491,8 @@
     before their first event, `asked` all requests. `wants_whole` requests a
     whole notice from the receiver. The instance had run for `age_ms` when it
     reported this usage, its `version`. `urgent` says that a workspace is near
-    its limit.
+    its limit, or that the evidence of crashes changed. `evidence` is None if it
+    did not change.
     """
 
     sender: str
@@ -470,6 +508,7 @@
     age_ms: int = 0
     version: int = 0
     urgent: bool = False
+    evidence: CrashEvidence | None = None
 
 
 class UsageDigest(Message, frozen=True):
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -31,6 +31,7 @@
 from verbenamux_relay.model_placement import Move, plan
 from verbenamux_relay.outcomes import ConfigurationState
 from verbenamux_relay.peering import Identity, Member, Peers
+from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.retry_budget import RetryBudget
 from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.target_selection import RoutingState, holdings, is_serving
@@ -99,6 +100,9 @@
             on_message=self._handle_keeper_message,
         )
         self.allowance = Allowance(clock.elapsed, self.peers.peer_timeout)
+        self.quarantine = Quarantine(
+            clock.elapsed, self.peers.peer_timeout, self.peers.is_first, log
+        )
         self.demand = DemandMeter(clock.elapsed, self.peers.peer_timeout)
         self.loader = Loader(
             target_table=routing_state.target_table,
@@ -244,20 +248,27 @@
         return budget
 
     def report_usage(self) -> None:
-        """Report spending and waiting requests to the other gateways."""
+        """Report what the other gateways need to know of this one."""
+        self.quarantine.review()
         usage = Usage(
             spent=dict(self.allowance.spent_by_workspace),
             left=self.allowance.levels(),
             waiting=self.demand.own_waiting(),
             asked=dict(self.demand.requests_by_model),
             age=self.allowance.age(),
+            evidence=self.quarantine.evidence(),
         )
         self.peers.send_usage(
             usage,
             is_leaving=self.stop.is_under_way,
-            is_urgent=self.allowance.should_report_now(),
+            is_urgent=self.should_report_now(),
         )
         self.allowance.mark_reported()
+        self.quarantine.has_news = False
+
+    def should_report_now(self) -> bool:
+        """Return whether the other gateways need a report at once."""
+        return self.allowance.should_report_now() or self.quarantine.has_news
 
     def pass_on_usage(self) -> None:
         """Pass on the usage of other gateways, if this one is to."""
@@ -337,6 +348,7 @@
         yield 'keepers_silent', unresponsive
         in_flight = sum(len(target.in_flight) for target in targets)
         yield 'requests_in_flight', in_flight
+        yield 'parts_convicted', self.quarantine.convicted_count()
 
     def sweep(self) -> None:
         """Forget targets that ended and close links to unused keepers."""
@@ -450,6 +462,7 @@
             usage.age,
         )
         self.demand.handle_usage(instance, usage)
+        self.quarantine.handle_evidence(instance, usage.evidence)
 
 
 def _milliseconds_since(
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -33,7 +33,7 @@
     `sends` counts the sends that may have reached a target, `runs` those of
     them that may have run there: all without proof that they did not.
     `connecting` is the time spent on failed connections. `cause` names the
-    last failure.
+    last failure. `is_suspect` is whether it may have crashed its target.
     """
 
     request: Request
@@ -59,6 +59,7 @@
     cause: str = ''
     steps: list[str] = field(default_factory=list)
     stage: Stage = Stage.CHOOSING
+    is_suspect: bool = False
 
     @contextmanager
     def waiting_for(self, stage: Stage) -> Iterator[None]:
@@ -82,11 +83,18 @@
         """Return the time until the deadline."""
         return self.deadline - now
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace, empty on a public route."""
+        return self.workspace.name if self.workspace else ''
+
     @property
     def may_retry(self) -> bool:
         """Return whether one more run is allowed."""
         if not self.runs:
             return True
+        if self.is_suspect:
+            return False
         return self.route.is_retryable and self.runs < self.route.max_attempts
 
 
--- a/libs/relay/src/verbenamux_relay/outcomes.py
+++ b/libs/relay/src/verbenamux_relay/outcomes.py
@@ -84,9 +84,9 @@
         record_outcome(job, 'broken_off', context)
         return
     wait = None
-    if refused.status in {TOO_MANY_REQUESTS, UNAVAILABLE}:
+    if refused.wait is not None:
         wait = retry_after(
-            refused.wait or UPDATE_RETRY_DELAY,
+            refused.wait,
             job.time_left(context.clock.elapsed()),
             context.random,
         )
--- /dev/null
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -0,0 +1,430 @@
+"""Keeps prompt parts that crash targets away from them, in the whole fleet.
+
+Load pattern: evidence is rare and spread over the gateways; each sees a few of
+the crashes. Every gateway tells the others the crashes that it saw, how many
+answers with the suspected parts began since, and the verdicts it knows. All
+tables have a fixed size, and only a crash makes an entry.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from verbenamux_contracts.clock import to_milliseconds
+from verbenamux_contracts.messages import CrashEvidence, CrashNotice, Verdict
+from verbenamux_relay.crash_evidence import Crash, Culprit, find_culprits
+from verbenamux_relay.terms import RequestTerms
+
+# A part whose answers began within this time may be sent again after a crash.
+RECENT_ANSWER_WINDOW = timedelta(seconds=5)
+# Evidence is forgotten after this time.
+CRASH_RETENTION = timedelta(minutes=2)
+# Wait before the first probe of a convicted part; each probe that fails makes
+# the next wait longer by this factor.
+FIRST_PROBE_WAIT = timedelta(minutes=1)
+PROBE_WAIT_FACTOR = 10
+MAX_PROBE_WAIT = timedelta(days=1)
+# A part that crashed targets for this many workspaces is refused to all.
+MIN_SHARED_WORKSPACES = 2
+# After this time the first gateway by name saves a verdict that is not stored.
+SAVE_TIMEOUT = timedelta(seconds=2)
+MAX_CRASHES = 64
+MAX_VERDICTS = 200
+MAX_RECENT_PARTS = 4000
+MAX_INSTANCES = 200
+MAX_FORGIVEN_IDS = 1000
+# Answers that are counted for a suspected part: more change no decision.
+MAX_ANSWERS = 100
+# Parts of one prompt that are considered, and their length.
+MAX_PARTS = 16
+MAX_PART_LENGTH = 64
+# Between the parts of a verdict's key; no part contains it.
+PART_SEPARATOR = ','
+
+
+@dataclass(slots=True)
+class _Known:
+    """A verdict on prompts with all of some parts.
+
+    `known_at` is when this gateway learned it, `stored` what the store has.
+    `probe_id` is the request that this gateway let through as a probe.
+    """
+
+    parts: frozenset[str]
+    verdict: Verdict
+    known_at: timedelta
+    stored: Verdict | None = None
+    is_own: bool = False
+    probe_id: str | None = None
+
+
+class Quarantine:
+    """Suspected and convicted prompt parts as one gateway knows them."""
+
+    def __init__(
+        self,
+        elapsed: Callable[[], timedelta],
+        settle_time: Callable[[], timedelta],
+        is_first: Callable[[], bool],
+        log: Callable[..., None],
+    ) -> None:
+        """Start without evidence.
+
+        What the others know arrives within `settle_time`; until then this
+        gateway convicts nothing. `is_first` is whether it is the one that
+        probes.
+        """
+        self.has_news = False
+        self._elapsed = elapsed
+        self._settle_time = settle_time
+        self._started_at = elapsed()
+        self._is_first = is_first
+        self._log = log
+        self._answered_at_by_part: OrderedDict[str, timedelta] = OrderedDict()
+        self._crash_by_id: OrderedDict[str, Crash] = OrderedDict()
+        self._own_ids: set[str] = set()
+        self._forgiven_ids: OrderedDict[str, None] = OrderedDict()
+        self._own_answers: Counter[str] = Counter()
+        self._answers_by_instance: OrderedDict[str, Mapping[str, int]] = (
+            OrderedDict()
+        )
+        self._known_by_key: OrderedDict[str, _Known] = OrderedDict()
+
+    def record_answer(self, terms: RequestTerms) -> None:
+        """Record that an answer to these terms began at a target."""
+        now = self._elapsed()
+        for part in _shared_parts(terms):
+            self._answered_at_by_part[part] = now
+            self._answered_at_by_part.move_to_end(part)
+            if part in self._own_answers:
+                self._count_answer(part, terms)
+        while len(self._answered_at_by_part) > MAX_RECENT_PARTS:
+            self._answered_at_by_part.popitem(last=False)
+        for key, known in tuple(self._known_by_key.items()):
+            if known.probe_id == terms.request_id:
+                self.release(key, is_own=True)
+
+    def record_crash(
+        self, crash_id: str, workspace: str, terms: RequestTerms
+    ) -> None:
+        """Record a target that ended as it began to answer a request."""
+        parts = _shared_parts(terms)
+        if not parts:
+            return
+        self._own_ids.add(crash_id)
+        self._add_crash(crash_id, workspace, parts)
+        self._log(
+            'crash_suspected',
+            request_id=terms.request_id,
+            crash=crash_id,
+            workspace=workspace,
+            parts=parts,
+            crashes=len(self._crash_by_id),
+        )
+        self.has_news = True
+        self.review()
+
+    def may_send_again(self, terms: RequestTerms) -> bool:
+        """Return whether all parts of a prompt were answered lately."""
+        oldest = self._elapsed() - RECENT_ANSWER_WINDOW
+        return all(
+            self._answered_at_by_part.get(part, timedelta.min) > oldest
+            for part in _shared_parts(terms)
+        )
+
+    def blocked_parts(self, workspace: str, terms: RequestTerms) -> str | None:
+        """Return the parts for which a request is refused, None if it is not.
+
+        One request with them is not refused when a probe is due.
+        """
+        if not self._known_by_key:
+            return None
+        parts = frozenset(_shared_parts(terms))
+        for key, known in tuple(self._known_by_key.items()):
+            if not known.parts <= parts:
+                continue
+            if not _applies(known.verdict, workspace):
+                continue
+            is_probe = known.probe_id == terms.request_id
+            if not (is_probe or self._begin_probe(key, known, terms)):
+                return key
+        return None
+
+    def release(self, key: str, *, is_own: bool = False) -> None:
+        """End a conviction; `is_own` is whether to save that in the store."""
+        known = self._known_by_key.get(key)
+        if known is None or not _is_convicted(known.verdict):
+            return
+        self._set_verdict(
+            key,
+            Verdict(known.verdict.version + 1, known.verdict.workspaces),
+            is_own=is_own,
+        )
+
+    def evidence(self) -> CrashEvidence:
+        """Return what the other gateways are told."""
+        return CrashEvidence(
+            crashes=tuple(
+                CrashNotice(crash.crash_id, crash.workspace, crash.parts)
+                for crash in self._crash_by_id.values()
+                if crash.crash_id in self._own_ids
+            ),
+            answers=dict(+self._own_answers),
+            verdicts={
+                key: known.verdict for key, known in self._known_by_key.items()
+            },
+        )
+
+    def handle_evidence(self, instance: str, evidence: CrashEvidence) -> None:
+        """Adopt what another gateway instance knows."""
+        for key, verdict in evidence.verdicts.items():
+            self._adopt(key, verdict)
+        for notice in evidence.crashes:
+            self._add_crash(
+                notice.crash_id, notice.workspace, _bounded(notice.parts)
+            )
+        self._answers_by_instance[instance] = evidence.answers
+        self._answers_by_instance.move_to_end(instance)
+        if len(self._answers_by_instance) > MAX_INSTANCES:
+            self._answers_by_instance.popitem(last=False)
+        self.review()
+
+    def adopt_stored(self, key: str, verdict: Verdict) -> None:
+        """Adopt a verdict as the store has it."""
+        self._adopt(key, verdict)
+        known = self._known_by_key.get(key)
+        if known is not None:
+            known.stored = verdict
+
+    def unsaved(self) -> Iterator[tuple[str, Verdict]]:
+        """Yield the verdicts that this gateway is to save in the store."""
+        oldest = self._elapsed() - SAVE_TIMEOUT
+        for key, known in tuple(self._known_by_key.items()):
+            is_overdue = known.known_at < oldest and self._is_first()
+            if known.stored != known.verdict and (known.is_own or is_overdue):
+                yield key, known.verdict
+
+    def convicted_count(self) -> int:
+        """Return how many verdicts refuse requests."""
+        return sum(1 for _ in self._convictions())
+
+    def review(self) -> None:
+        """Decide on the evidence that is known now."""
+        if not self._crash_by_id:
+            return
+        now = self._elapsed()
+        for crash_id, crash in tuple(self._crash_by_id.items()):
+            if now - crash.known_at > CRASH_RETENTION:
+                self._forget_crash(crash_id)
+            else:
+                self._extend_conviction(crash)
+        if now - self._started_at < self._settle_time():
+            return
+        crashes = tuple(self._crash_by_id.values())
+        for culprit in tuple(find_culprits(crashes, self._answers())):
+            self._convict(culprit)
+
+    def _convictions(self) -> Iterator[tuple[str, _Known]]:
+        for key, known in tuple(self._known_by_key.items()):
+            if _is_convicted(known.verdict):
+                yield key, known
+
+    def _begin_probe(
+        self, key: str, known: _Known, terms: RequestTerms
+    ) -> bool:
+        """Return whether this request probes the part, and record it."""
+        probes = known.verdict.version // 2
+        wait = min(
+            FIRST_PROBE_WAIT * PROBE_WAIT_FACTOR ** min(probes, 9),
+            MAX_PROBE_WAIT,
+        )
+        age = self._elapsed() - known.known_at
+        if age < wait or not self._is_first():
+            return False
+        self._log(
+            'parts_probed',
+            request_id=terms.request_id,
+            parts=key,
+            probes=probes + 1,
+            age_ms=to_milliseconds(age),
+        )
+        self._set_verdict(
+            key,
+            Verdict(known.verdict.version + 2, known.verdict.workspaces),
+            is_own=True,
+        )
+        self._known_by_key[key].probe_id = terms.request_id
+        return True
+
+    def _answers(self) -> Counter[str]:
+        """Return the answers of all gateways with the suspected parts."""
+        total = Counter(self._own_answers)
+        for answers in self._answers_by_instance.values():
+            total.update(answers)
+        return total
+
+    def _count_answer(self, part: str, terms: RequestTerms) -> None:
+        """Count an answer with a suspected part."""
+        answers = self._own_answers[part]
+        self._own_answers[part] = min(answers + 1, MAX_ANSWERS)
+        if not answers:
+            self._log(
+                'part_acquitted',
+                request_id=terms.request_id,
+                part=part,
+                crashes=[
+                    crash.crash_id
+                    for crash in self._crash_by_id.values()
+                    if part in crash.parts
+                ],
+            )
+
+    def _add_crash(
+        self, crash_id: str, workspace: str, parts: tuple[str, ...]
+    ) -> None:
+        """Add a crash, or the parts of another request that may explain it."""
+        if crash_id in self._forgiven_ids:
+            return
+        now = self._elapsed()
+        crash = self._crash_by_id.get(
+            crash_id, Crash(crash_id, workspace, (), now)
+        )
+        all_parts = tuple(dict.fromkeys((*crash.parts, *parts)))
+        self._crash_by_id[crash_id] = replace(
+            crash, parts=all_parts[:MAX_PARTS]
+        )
+        if len(self._crash_by_id) > MAX_CRASHES:
+            self._forget_crash(next(iter(self._crash_by_id)))
+        oldest = now - RECENT_ANSWER_WINDOW
+        for part in parts:
+            if part in self._own_answers:
+                continue
+            answered_at = self._answered_at_by_part.get(part, timedelta.min)
+            self._own_answers[part] = int(answered_at > oldest)
+            # An objection must reach the others before they decide.
+            self.has_news |= answered_at > oldest
+
+    def _forget_crash(self, crash_id: str) -> None:
+        self._crash_by_id.pop(crash_id)
+        self._own_ids.discard(crash_id)
+        listed = {
+            part for crash in self._crash_by_id.values() for part in crash.parts
+        }
+        for part in self._own_answers.keys() - listed:
+            self._own_answers.pop(part)
+
+    def _extend_conviction(self, crash: Crash) -> None:
+        """Extend convictions to the workspace of a further crash."""
+        for key, known in self._convictions():
+            workspaces = known.verdict.workspaces
+            if crash.workspace in workspaces or not known.parts <= set(
+                crash.parts
+            ):
+                continue
+            self._set_verdict(
+                key,
+                Verdict(
+                    known.verdict.version,
+                    _sorted((*workspaces, crash.workspace)),
+                ),
+                is_own=crash.crash_id in self._own_ids,
+            )
+
+    def _convict(self, culprit: Culprit) -> None:
+        """Convict a culprit unless a verdict on fewer parts covers it."""
+        parts = set(culprit.parts)
+        if any(known.parts <= parts for _, known in self._convictions()):
+            return
+        key = PART_SEPARATOR.join(culprit.parts)
+        known = self._known_by_key.get(key)
+        version = known.verdict.version if known else 0
+        first_known_at = min(crash.known_at for crash in culprit.crashes)
+        self._log(
+            'parts_convicted',
+            parts=key,
+            crashes=[crash.crash_id for crash in culprit.crashes],
+            answers=culprit.answers,
+            weight=round(culprit.weight, 2),
+            workspaces=_sorted(culprit.workspaces),
+            age_ms=to_milliseconds(self._elapsed() - first_known_at),
+        )
+        self._set_verdict(
+            key,
+            Verdict(version + 1, _sorted(culprit.workspaces)),
+            is_own=any(
+                crash.crash_id in self._own_ids for crash in culprit.crashes
+            ),
+        )
+
+    def _adopt(self, key: str, verdict: Verdict) -> None:
+        """Adopt a verdict unless a newer one is known."""
+        known = self._known_by_key.get(key)
+        if known is None or verdict.version > known.verdict.version:
+            self._log(
+                'verdict_adopted', parts=key, convicted=_is_convicted(verdict)
+            )
+            self._set_verdict(key, verdict, is_own=False)
+        elif verdict.version == known.verdict.version:
+            workspaces = _sorted(
+                {*known.verdict.workspaces, *verdict.workspaces}
+            )
+            if workspaces != known.verdict.workspaces:
+                known.verdict = Verdict(verdict.version, workspaces)
+                self.has_news = True
+
+    def _set_verdict(self, key: str, verdict: Verdict, *, is_own: bool) -> None:
+        previous = self._known_by_key.pop(key, None)
+        self._known_by_key[key] = _Known(
+            frozenset(key.split(PART_SEPARATOR)),
+            verdict,
+            self._elapsed(),
+            previous.stored if previous else None,
+            is_own,
+        )
+        if len(self._known_by_key) > MAX_VERDICTS:
+            self._known_by_key.popitem(last=False)
+        self.has_news = True
+        if not _is_convicted(verdict):
+            self._log('parts_released', parts=key, version=verdict.version)
+            self._forgive(self._known_by_key[key].parts)
+
+    def _forgive(self, parts: frozenset[str]) -> None:
+        """Drop the crashes of released parts, whoever reports them again."""
+        for crash_id, crash in tuple(self._crash_by_id.items()):
+            if parts <= set(crash.parts):
+                self._forget_crash(crash_id)
+                self._forgiven_ids[crash_id] = None
+        while len(self._forgiven_ids) > MAX_FORGIVEN_IDS:
+            self._forgiven_ids.popitem(last=False)
+
+
+def _shared_parts(terms: RequestTerms) -> tuple[str, ...]:
+    """Return the parts that other requests may share.
+
+    The last part of a prompt belongs to its request alone.
+    """
+    return _bounded(tuple(part.part_id for part in terms.parts[:-1]))
+
+
+def _bounded(parts: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(
+        part for part in parts[-MAX_PARTS:] if len(part) <= MAX_PART_LENGTH
+    )
+
+
+def _is_convicted(verdict: Verdict) -> bool:
+    """Return whether a verdict stands; a release makes its version even."""
+    return bool(verdict.version % 2)
+
+
+def _applies(verdict: Verdict, workspace: str) -> bool:
+    """Return whether a verdict stands for the requests of a workspace."""
+    return _is_convicted(verdict) and (
+        workspace in verdict.workspaces
+        or len(verdict.workspaces) >= MIN_SHARED_WORKSPACES
+    )
+
+
+def _sorted(workspaces: Iterable[str]) -> tuple[str, ...]:
+    return tuple(sorted(workspaces))
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -9,6 +9,7 @@
 from verbenamux_contracts.clock import to_milliseconds
 from verbenamux_http.errors import (
     CallerDisconnected,
+    ExchangeFailure,
     ListenerStopping,
     RequestError,
 )
@@ -36,6 +37,7 @@
     refuse,
     refuse_unadmitted,
 )
+from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.retry_budget import RetryBudget
 from verbenamux_relay.send_decision import (
     MIN_RETRY_AFTER,
@@ -45,6 +47,7 @@
     urgency,
 )
 from verbenamux_relay.sending import (
+    CONNECT_TIMEOUT,
     MAX_CONNECTING_TIME,
     Ending,
     Outcome,
@@ -65,6 +68,7 @@
 BAD_REQUEST = 400
 GATEWAY_TIMEOUT = 504
 STOPPING = 'the gateway is stopping'
+CRASHING_PARTS = 'targets crash under the prompt parts'
 # Retry-After base for a model whose load has no known end.
 MODEL_LOAD_RETRY_DELAY = timedelta(seconds=1)
 # Maximum wait for a model that is not in place, as a fraction of the time that
@@ -91,6 +95,7 @@
     sequence: Iterator[int]
     open_jobs: OpenJobs
     stop: StopPlan
+    quarantine: Quarantine
 
     def now(self) -> timedelta:
         """Return the time since an arbitrary start."""
@@ -131,7 +136,7 @@
             arrived_at,
             outcome_context.random,
         )
-        _check_stop(job, context.stop)
+        _check_admitted(job, context)
         charge(job, outcome_context.allowance)
     except RequestRefusedError as refused:
         refuse_unadmitted(reply, terms, refused, outcome_context)
@@ -140,6 +145,12 @@
         _run_to_outcome(job, context)
 
 
+def _check_admitted(job: Job, context: RelayContext) -> None:
+    """Refuse what can't be served here now; raises RequestRefusedError."""
+    _check_stop(job, context.stop)
+    _check_prompt(job, context.quarantine)
+
+
 def _check_stop(job: Job, stop: StopPlan) -> None:
     """Refuse a stream that the gateway might break off when it stops.
 
@@ -150,6 +161,18 @@
         raise RequestRefusedError(UNAVAILABLE, STOPPING, STOPPING_RETRY_DELAY)
 
 
+def _check_prompt(job: Job, quarantine: Quarantine) -> None:
+    """Refuse a prompt with a part that crashes targets.
+
+    No Retry-After is given: the request is refused again until a probe passes.
+    Raises RequestRefusedError.
+    """
+    parts = quarantine.blocked_parts(job.workspace_name, job.terms)
+    if parts is not None:
+        status = BAD_GATEWAY if job.runs else UNAVAILABLE
+        raise RequestRefusedError(status, f'{CRASHING_PARTS} {parts}')
+
+
 @contextmanager
 def _counted_in_demand(job: Job, demand: DemandMeter) -> Iterator[None]:
     model = job.terms.model
@@ -384,6 +407,7 @@
     context: RelayContext,
 ) -> Outcome:
     check_key(job, context.outcome_context.configuration_state())
+    _check_prompt(job, context.quarantine)
     now = context.now()
     job.sent_at = now
     job.target_id = target.entry.target_id
@@ -450,7 +474,7 @@
     if outcome.ending is Ending.NOT_RUN and outcome.arrived:
         job.record_not_run()
     if outcome.ending is Ending.DELIVERED:
-        target.record_success(context.now())
+        _record_success(sent, context)
         return
     job.excluded.add(target_id)
     if outcome.is_model_missing:
@@ -464,6 +488,13 @@
         _record_failure(sent, outcome, context)
 
 
+def _record_success(sent: Send, context: RelayContext) -> None:
+    sent.target.record_success(context.now())
+    if not sent.in_flight.is_started:
+        # A whole answer has no first event.
+        context.quarantine.record_answer(sent.job.terms)
+
+
 def _record_replaced(job: Job, target: Target, context: RelayContext) -> None:
     """Stop sending to a target whose address now belongs to another."""
     target.record_replaced(context.now())
@@ -497,6 +528,40 @@
         model=job.terms.model_key,
         parts=[part.part_id for part in job.terms.parts],
     )
+    if _has_crashed(sent):
+        _record_crash(sent, context)
+
+
+def _has_crashed(sent: Send) -> bool:
+    """Return whether the target ended between an answer's head and first event.
+
+    A target that still accepts connections has not.
+    """
+    if not sent.in_flight.has_head or sent.in_flight.is_started:
+        return False
+    try:
+        connection = sent.context.pool.take(
+            sent.target.entry.address, CONNECT_TIMEOUT
+        )
+    except ExchangeFailure:
+        return True
+    connection.close()
+    return False
+
+
+def _record_crash(sent: Send, context: RelayContext) -> None:
+    """Record a target that ended as it began to answer.
+
+    The request is sent again only if none of its parts can be the cause.
+    """
+    job, entry = sent.job, sent.target.entry
+    context.outcome_context.metrics.count('crashes_suspected_total')
+    context.quarantine.record_crash(
+        f'{entry.target_id}@{entry.started_ms}',
+        job.workspace_name,
+        job.terms,
+    )
+    job.is_suspect = not context.quarantine.may_send_again(job.terms)
 
 
 def _give_up(
--- a/libs/relay/src/verbenamux_relay/usage.py
+++ b/libs/relay/src/verbenamux_relay/usage.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from typing import TypeVar
 
-from verbenamux_contracts.messages import UsageNotice
+from verbenamux_contracts.messages import CrashEvidence, UsageNotice
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -23,7 +23,8 @@
     """Spending of a gateway by workspace, and its requests by model.
 
     `left` is what each workspace may still spend according to it. `age` is how
-    long it had run then; `version` counts its reports.
+    long it had run then; `version` counts its reports. `evidence` is what it
+    knows of prompt parts that crash targets.
     """
 
     spent: Mapping[str, float] = field(default_factory=dict)
@@ -32,6 +33,7 @@
     asked: Mapping[str, int] = field(default_factory=dict)
     age: timedelta = timedelta()
     version: int = 0
+    evidence: CrashEvidence = field(default_factory=CrashEvidence)
 
 
 class UsageReporter:
@@ -79,6 +81,11 @@
             age_ms=usage.age // MILLISECOND,
             version=usage.version,
             urgent=is_urgent,
+            evidence=(
+                None
+                if reported and usage.evidence == before.evidence
+                else usage.evidence
+            ),
         )
 
 
@@ -106,6 +113,7 @@
             asked={**current.asked, **notice.asked},
             age=MILLISECOND * notice.age_ms,
             version=notice.version,
+            evidence=notice.evidence or current.evidence,
         )
         return self._received
 
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -2,17 +2,25 @@
 
 from datetime import timedelta
 from random import Random
+from types import SimpleNamespace
 
 import gevent
 import gevent.event
-from returns.result import Success
+from returns.result import Failure, Success
 
 from verbenamux_contracts.clock import SystemClock
-from verbenamux_contracts.log import RecordBatch
-from verbenamux_platform.feeds import MEMBERS_READ_TIMEOUTS
-from verbenamux_platform.store import NewestValues, keyed_record
+from verbenamux_contracts.log import LogFailure, LogFault, RecordBatch
+from verbenamux_platform.feeds import (
+    MEMBERS_READ_TIMEOUTS,
+    follow_members,
+    save_verdicts,
+)
+from verbenamux_platform.store import NewestValues, keyed_record, split_keyed
 from verbenamux_platform.subscription import Source, Subscription, follow
+from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.shared_reads import read_directly
+from verbenamux_relay.terms import PromptPart, RequestTerms
+from verbenamux_runtime.metrics import Metrics
 
 GATEWAYS = 68
 # Time between two gateways that announce themselves at a start of all.
@@ -65,3 +73,78 @@
     task.kill()
     assert len(seen) == GATEWAYS
     assert topic.reads <= 3
+
+
+class Members:
+    """A topic of gateways that a test fills; an append fails if `is_away`."""
+
+    def __init__(self):
+        self.records = []
+        self.is_away = False
+
+    def append(self, _topic, record):
+        if self.is_away:
+            return Failure(LogFailure(LogFault.REFUSED, 'away'))
+        self.records.append(record)
+        return Success(len(self.records))
+
+    def newest(self, _topic):
+        newest = {split_keyed(record).key: record for record in self.records}
+        keyed = tuple(map(split_keyed, newest.values()))
+        return Success(NewestValues(keyed, len(self.records)))
+
+    def read(self, _topic, start, wait, _call_timeout=None):
+        gevent.sleep(min(wait.total_seconds(), 0.01))
+        records = tuple(self.records[start:])
+        end = start + len(records)
+        return Success(RecordBatch(start, end, records, end))
+
+
+def started_gateway():
+    clock = SystemClock()
+    lines = []
+
+    def log(event, **fields):
+        lines.append((event, fields))
+
+    quarantine = Quarantine(clock.elapsed, timedelta, lambda: True, log)
+    gateway = SimpleNamespace(
+        quarantine=quarantine,
+        setup=SimpleNamespace(name='g', peer_address='127.0.0.1:1'),
+        routing_state=SimpleNamespace(data_centre='here'),
+        peers=SimpleNamespace(set_members=lambda _members: None),
+    )
+    process = SimpleNamespace(
+        clock=clock, metrics=Metrics(), log=SimpleNamespace(write=log)
+    )
+    return gateway, process, lines
+
+
+TERMS = RequestTerms(
+    'r', 'host', parts=(PromptPart('dead', 9), PromptPart('own', 9))
+)
+
+
+def test_a_verdict_is_saved_when_the_store_is_back_and_read_at_a_start():
+    store = Members()
+    gateway, process, _ = started_gateway()
+    gateway.quarantine.record_crash('1', 'w', TERMS)
+    gateway.quarantine.record_crash('2', 'w', TERMS)
+    store.is_away = True
+    save_verdicts(store, gateway, process)
+    store.is_away = False
+    store.records.append(keyed_record('part:odd', b'{not a verdict'))
+    save_verdicts(store, gateway, process)
+    save_verdicts(store, gateway, process)
+    assert len(store.records) == 2
+    restarted, process, lines = started_gateway()
+    task = gevent.spawn(follow_members, store, restarted, process)
+    gevent.sleep(0.1)
+    assert restarted.quarantine.blocked_parts('w', TERMS) == 'dead'
+    assert ('verdict_rejected', 'part:odd') in [
+        (event, fields.get('entry')) for event, fields in lines
+    ]
+    store.records.append(keyed_record('part:dead', b''))
+    gevent.sleep(1)
+    task.kill()
+    assert restarted.quarantine.blocked_parts('w', TERMS) is None
--- a/tests/platform/test_query_of_death.py
+++ b/tests/platform/test_query_of_death.py
@@ -19,6 +19,7 @@
     def __init__(self):
         super().__init__()
         self.opened = []
+        self.is_doomed = False
 
     def serve(self, opened, peer):
         self.opened.append(opened)
@@ -26,7 +27,8 @@
 
     def answer(self, opened):
         opened.sendall(STREAM_HEAD)
-        if DEADLY_PART not in self.requests[-1].headers.get('Prompt-Prefix'):
+        prefix = self.requests[-1].headers.get('Prompt-Prefix')
+        if not self.is_doomed and DEADLY_PART not in prefix:
             opened.sendall(event(1) + END)
             return True
         gevent.sleep(0.01)
@@ -50,9 +52,7 @@
 
 def crashed(world):
     return [
-        target
-        for target in world.targets.values()
-        if not target.server.started
+        target for target in world.targets.values() if not target.server.started
     ]
 
 
@@ -87,3 +87,40 @@
     reply = world.ask(prompt(SHARED_PART, DEADLY_PART, 'own'))
     assert reply.status == 502
     assert len(crashed(world)) == 1
+
+
+class CuttingTarget(FakeTarget):
+    """Cuts each first answer after its head, and goes on serving."""
+
+    def answer(self, opened):
+        opened.sendall(STREAM_HEAD)
+        if len(self.requests) > 1:
+            opened.sendall(event(1) + END)
+        return len(self.requests) > 1
+
+
+def test_a_target_that_only_cuts_an_answer_is_no_crash():
+    """What broke off is sent again as before, and no part is suspected."""
+    world = World(
+        CuttingTarget(),
+        CuttingTarget(),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+        max_attempts=3,
+    )
+    context = world.context()
+    assert world.ask(prompt(SHARED_PART, 'own'), context=context).status == 502
+    assert world.ask(prompt(SHARED_PART, 'own'), context=context).status == 200
+    assert not [fields for name, fields in world.lines if 'crash' in name]
+
+
+def test_a_sound_request_whose_target_crashed_goes_on_elsewhere():
+    """Its parts were answered a moment ago: they are not the cause."""
+    world = poisoned_world(2)
+    context = world.context()
+    assert world.ask(prompt('b', 'own1'), context=context).status == 200
+    for target in world.targets.values():
+        target.is_doomed = True
+    reply = world.ask(prompt('b', 'own2'), context=context)
+    assert reply.status == 502
+    assert len(crashed(world)) == 2
--- /dev/null
+++ b/tests/relay/test_crash_evidence.py
@@ -0,0 +1,55 @@
+"""Which part of a prompt is convicted, by crashes and answers that began."""
+
+from datetime import timedelta
+from itertools import count
+
+import pytest
+
+from verbenamux_relay.crash_evidence import Crash, find_culprits
+
+
+def crashes(*prompts):
+    return [
+        Crash(str(number), 'w', parts, timedelta())
+        for number, parts in zip(count(), prompts, strict=False)
+    ]
+
+
+def convicted(evidence, answers=None):
+    return {culprit.parts for culprit in find_culprits(evidence, answers or {})}
+
+
+def test_one_crash_convicts_nothing():
+    assert not convicted(crashes(('a', 'dead')))
+
+
+@pytest.mark.parametrize('prompt', [('a', 'dead'), ('dead', 'a')])
+def test_the_part_without_answers_is_convicted(prompt):
+    assert convicted(crashes(prompt, prompt), {'a': 1}) == {('dead',)}
+
+
+def test_two_deadly_parts_are_told_apart_from_the_first_part_they_share():
+    evidence = crashes(*[('a', 'dead1'), ('a', 'dead2')] * 3)
+    assert convicted(evidence, {'a': 16}) == {('dead1',), ('dead2',)}
+
+
+def test_a_part_that_crashes_one_request_in_ten_is_convicted_by_the_fifth():
+    by_count = [
+        convicted(
+            crashes(*[('a', 'dead')] * number),
+            {'a': 90 * number, 'dead': 9 * number},
+        )
+        for number in range(1, 6)
+    ]
+    assert by_count == [set()] * 4 + [{('dead',)}]
+
+
+def test_a_popular_part_caught_by_crashes_of_another_cause_is_acquitted():
+    assert not convicted(crashes(*[('a',)] * 3), {'a': 20})
+
+
+def test_parts_that_always_come_together_are_convicted_together():
+    together = [('a', 'b', 'dead'), ('b', 'c', 'dead')]
+    assert convicted(crashes(*together)) == {('b', 'dead')}
+    evidence = crashes(*together, ('c', 'dead'))
+    assert convicted(evidence) == {('dead',)}
--- /dev/null
+++ b/tests/relay/test_quarantine.py
@@ -0,0 +1,258 @@
+"""Gateways agree on the parts that crash targets, whatever is lost."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from verbenamux_contracts.clock import ManualClock
+from verbenamux_contracts.messages import CrashEvidence
+from verbenamux_relay.quarantine import (
+    FIRST_PROBE_WAIT,
+    MAX_CRASHES,
+    PROBE_WAIT_FACTOR,
+    Quarantine,
+)
+from verbenamux_relay.terms import PromptPart, RequestTerms
+
+SECOND = timedelta(seconds=1)
+GATEWAYS = st.sampled_from(range(3))
+SMALL = settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
+def terms(*parts, request_id='r'):
+    prompt = (*parts, 'own')
+    return RequestTerms(
+        request_id, 'host', parts=tuple(PromptPart(part, 9) for part in prompt)
+    )
+
+
+def ignore(_event, **_fields):
+    """Write no log."""
+
+
+def quarantine(clock, *, is_first=True):
+    return Quarantine(clock.elapsed, lambda: SECOND, lambda: is_first, ignore)
+
+
+def settled(clock):
+    made = quarantine(clock)
+    clock.advance(SECOND)
+    return made
+
+
+def convict(target, part='dead', workspaces=('w', 'w')):
+    for number, workspace in enumerate(workspaces):
+        target.record_answer(terms('a'))
+        target.record_crash(f'{part}{number}', workspace, terms('a', part))
+
+
+class Fleet(RuleBasedStateMachine):
+    """Three gateways, a store, and requests with a deadly and a sound part."""
+
+    reports_arrive = True
+
+    @initialize(is_deadly_first=st.booleans())
+    def start(self, is_deadly_first):
+        parts = ('dead', 'a') if is_deadly_first else ('a', 'dead')
+        self.deadly = terms(*parts)
+        self.clock = ManualClock()
+        self.by_number = {}
+        self.stored = {}
+        self.crash_count = 0
+        for number in range(3):
+            self.restart(number)
+
+    @rule(number=GATEWAYS)
+    def restart(self, number):
+        self.by_number[number] = quarantine(self.clock, is_first=not number)
+        for part, verdict in self.stored.items():
+            self.by_number[number].adopt_stored(part, verdict)
+
+    @rule(number=GATEWAYS)
+    def ask_soundly(self, number):
+        assert self.by_number[number].blocked_parts('w', terms('a')) is None
+        self.by_number[number].record_answer(terms('a'))
+
+    @rule(number=GATEWAYS)
+    def ask_for_the_deadly_part(self, number):
+        gateway = self.by_number[number]
+        if gateway.blocked_parts('w', self.deadly) is None:
+            self.crash_count += 1
+            gateway.record_crash(str(self.crash_count), 'w', self.deadly)
+
+    @rule(sender=GATEWAYS, receiver=GATEWAYS)
+    def report(self, sender, receiver):
+        if self.reports_arrive:
+            self.by_number[receiver].handle_evidence(
+                str(sender), self.by_number[sender].evidence()
+            )
+
+    @rule(number=GATEWAYS)
+    def save(self, number):
+        gateway = self.by_number[number]
+        for part, verdict in gateway.unsaved():
+            self.stored[part] = verdict
+            gateway.adopt_stored(part, verdict)
+
+    @rule(milliseconds=st.integers(1, 900))
+    def advance(self, milliseconds):
+        self.clock.advance(timedelta(milliseconds=milliseconds))
+
+    @rule()
+    def exchange_all_reports(self):
+        """No part may reach targets once all know of two crashes."""
+        self.clock.advance(SECOND)
+        known = {
+            crash.crash_id
+            for gateway in self.by_number.values()
+            for crash in gateway.evidence().crashes
+        }
+        for sender in (0, 1, 2, 0, 1, 2):
+            for receiver in self.by_number.keys() - {sender}:
+                self.report(sender, receiver)
+        if len(known) > 1:
+            for gateway in self.by_number.values():
+                assert gateway.blocked_parts('w', self.deadly) is not None
+
+
+class MuteFleet(Fleet):
+    """The same without reports between gateways."""
+
+    reports_arrive = False
+
+
+def test_gateways_convict_the_deadly_part_and_never_a_sound_one():
+    run_state_machine_as_test(Fleet, settings=SMALL)
+
+
+def test_the_check_fails_without_reports():
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(MuteFleet, settings=SMALL)
+
+
+def test_a_conviction_holds_for_its_workspace_until_another_crashes_a_target():
+    target = settled(ManualClock())
+    convict(target)
+    assert target.blocked_parts('w', terms('a', 'dead')) == 'dead'
+    assert target.blocked_parts('other', terms('a', 'dead')) is None
+    target.record_crash('later', 'other', terms('a', 'dead'))
+    assert target.blocked_parts('third', terms('a', 'dead')) == 'dead'
+
+
+def test_a_caller_can_not_convict_a_part_of_another_workspace():
+    """It sends deadly requests of its own beside the other one's part."""
+    target = settled(ManualClock())
+    for number in range(10):
+        target.record_crash(
+            str(number), 'attacker', terms('victim', f'dead{number}')
+        )
+    assert target.blocked_parts('w', terms('victim')) is None
+
+
+def test_a_crash_with_two_suspects_is_attributed_by_the_next_one():
+    target = settled(ManualClock())
+    target.record_crash('1', 'w', terms('b'))
+    target.record_crash('1', 'w', terms('a', 'dead'))
+    target.record_answer(terms('a'))
+    target.record_crash('2', 'w', terms('a', 'dead'))
+    assert target.blocked_parts('w', terms('dead')) == 'dead'
+    assert target.blocked_parts('w', terms('a', 'b')) is None
+
+
+def test_invented_parts_fill_no_table():
+    clock = ManualClock()
+    target = quarantine(clock)
+    for number in range(MAX_CRASHES * 3):
+        target.record_crash(str(number), 'w', terms(f'part{number}'))
+        target.record_answer(terms(f'answered{number}'))
+    assert len(target.evidence().crashes) == MAX_CRASHES
+    assert len(target.evidence().answers) <= MAX_CRASHES
+
+
+def test_restarted_gateways_know_what_the_store_has():
+    clock = ManualClock()
+    target = settled(clock)
+    convict(target)
+    ((part, verdict),) = target.unsaved()
+    target.adopt_stored(part, verdict)
+    assert not tuple(target.unsaved())
+    restarted = quarantine(clock)
+    restarted.adopt_stored(part, verdict)
+    assert restarted.blocked_parts('w', terms('dead')) == 'dead'
+
+
+def test_the_first_gateway_saves_what_its_finder_did_not():
+    clock = ManualClock()
+    finder = settled(clock)
+    convict(finder)
+    first, other = quarantine(clock), quarantine(clock, is_first=False)
+    for gateway in (first, other):
+        gateway.handle_evidence('finder', finder.evidence())
+    assert not tuple(first.unsaved())
+    clock.advance(SECOND * 3)
+    assert tuple(first.unsaved())
+    assert not tuple(other.unsaved())
+
+
+@pytest.fixture
+def convicted():
+    clock = ManualClock()
+    target = settled(clock)
+    convict(target)
+    return clock, target
+
+
+def probe(target, request_id):
+    return (
+        target.blocked_parts('w', terms('dead', request_id=request_id)) is None
+    )
+
+
+def test_one_request_probes_and_its_answer_releases_the_part(convicted):
+    clock, target = convicted
+    assert not probe(target, 'early')
+    clock.advance(FIRST_PROBE_WAIT)
+    assert probe(target, 'probe')
+    assert probe(target, 'probe'), 'asked again right before the send'
+    assert not probe(target, 'second')
+    target.record_answer(terms('dead', request_id='probe'))
+    assert probe(target, 'third')
+    follower = quarantine(clock)
+    follower.handle_evidence('target', target.evidence())
+    assert probe(follower, 'fourth')
+
+
+def test_a_failed_probe_makes_the_next_one_rarer(convicted):
+    clock, target = convicted
+    clock.advance(FIRST_PROBE_WAIT)
+    assert probe(target, 'probe')
+    target.record_crash('probed', 'w', terms('dead'))
+    clock.advance(FIRST_PROBE_WAIT * PROBE_WAIT_FACTOR - SECOND)
+    assert not probe(target, 'early')
+    clock.advance(SECOND)
+    assert probe(target, 'second')
+
+
+def test_only_the_first_gateway_probes():
+    clock = ManualClock()
+    target = quarantine(clock, is_first=False)
+    clock.advance(SECOND)
+    convict(target)
+    clock.advance(FIRST_PROBE_WAIT * 10)
+    assert not probe(target, 'probe')
+
+
+def test_an_operator_releases_a_part(convicted):
+    _clock, target = convicted
+    target.release('dead')
+    assert probe(target, 'any')
+    target.handle_evidence('late', CrashEvidence())
+    assert probe(target, 'any')
--- a/tests/relay/test_usage_digest.py
+++ b/tests/relay/test_usage_digest.py
@@ -16,11 +16,20 @@
     workspace,
 )
 from verbenamux_contracts.clock import ManualClock
-from verbenamux_contracts.messages import UsageDigest, UsageNotice, UsageWanted
+from verbenamux_contracts.messages import (
+    CrashEvidence,
+    CrashNotice,
+    UsageDigest,
+    UsageNotice,
+    UsageWanted,
+)
 from verbenamux_relay.allowance import Allowance
 from verbenamux_relay.peering import Identity, Member, Peers
 from verbenamux_relay.usage import Usage
 
+# The shortest of the platform's bounds.
+STABLE_WINDOW = timedelta(seconds=3)
+
 
 class Link:
     def __init__(self, fleet, sender, address, handler):
@@ -53,16 +62,21 @@
         self.allowance = Allowance(fleet.clock.elapsed, self.peers.peer_timeout)
         self.due_at = fleet.clock.elapsed()
         self.seen = {}
+        self.evidence = CrashEvidence()
+        self.has_news = False
+        self.suspected = set()
 
     def step(self):
         now = self.fleet.clock.elapsed()
-        is_urgent = self.allowance.should_report_now()
+        is_urgent = self.allowance.should_report_now() or self.has_news
+        self.has_news = False
         if is_urgent or now >= self.due_at:
             self.due_at = now + self.peers.usage_interval()
             usage = Usage(
                 spent=dict(self.allowance.spent_by_workspace),
                 left=self.allowance.levels(),
                 age=self.allowance.age(),
+                evidence=self.evidence,
             )
             self.peers.send_usage(usage, is_urgent=is_urgent)
             self.allowance.mark_reported()
@@ -82,6 +96,9 @@
 
     def apply(self, instance, usage):
         self.seen[instance] = usage.spent.get('theatre', 0)
+        self.suspected.update(
+            crash.crash_id for crash in usage.evidence.crashes
+        )
         self.allowance.handle_notice(
             instance,
             usage.spent,
@@ -181,6 +198,23 @@
         assert not gateway.allowance.unresponsive_peers()
 
 
+@pytest.mark.parametrize(
+    ('size', 'data_centres'), [(6, 3), (28, 4), (68, 6), (104, 13)]
+)
+def test_a_crash_is_known_everywhere_within_the_shortest_stable_window(
+    size, data_centres
+):
+    fleet = Fleet(size, data_centres)
+    fleet.run(3)
+    finder = fleet.gateways[f'g{size - 1:03}']
+    crash = CrashNotice('target', 'w', ('part',))
+    finder.evidence = CrashEvidence((crash,))
+    finder.has_news = True
+    fleet.run(STABLE_WINDOW.total_seconds())
+    for gateway in fleet.gateways.values():
+        assert gateway is finder or gateway.suspected == {'target'}
+
+
 def test_few_messages_cross_between_data_centres():
     """In a mesh of 68, some 1,800 a second cross in calm times."""
     fleet = Fleet(68, 6)
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -31,6 +31,7 @@
 from verbenamux_relay.loading import Loader
 from verbenamux_relay.outcomes import ConfigurationState, OutcomeContext
 from verbenamux_relay.prompt_cache import PromptMemory
+from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.relaying import RelayContext, relay
 from verbenamux_relay.retry_budget import RetryBudget
 from verbenamux_relay.sending import SendContext
@@ -202,8 +203,13 @@
         clock = self.clock
         pool = ConnectionPool(clock.elapsed, BodyMemory(4_000_000))
 
+        quarantine = Quarantine(
+            clock.elapsed, timedelta, lambda: True, self.log
+        )
+
         def on_first_event(job, _target, sent):
             sent.is_started = True
+            quarantine.record_answer(job.terms)
             job.first_event_at = job.first_event_at or clock.elapsed()
 
         demand = DemandMeter(clock.elapsed)
@@ -234,6 +240,7 @@
             open_jobs=OpenJobs(),
             stop=StopPlan(),
             sequence=self.sequence,
+            quarantine=quarantine,
         )
 
     def ask(self, headers=(), key='key', body=b'', context=None):
