Relay: a stream that ends inside an event was broken off

Cause: the close of a connection ends such an answer, and the bytes after the last whole event were passed on. The class: an end taken for a whole. Change: bytes after the last event, or no event where the connection's end is the answer's, count as broken: resumed elsewhere, or broken off.

--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -283,18 +283,31 @@
     splitter = EventSplitter()
     try:
         _pass_events(sent, exchange, head, splitter)
+        _check_stream_end(sent, head, splitter)
     except ExchangeFailure as failure:
         if sent.job.events:
             return Outcome(Ending.BROKEN_OFF, failure.message)
         raise
-    rest = splitter.take_remainder()
     _start_reply(sent, head)
-    if rest:
-        sent.job.reply.send_piece(rest)
     sent.job.reply.finish()
     return Outcome(Ending.DELIVERED)
 
 
+def _check_stream_end(
+    sent: Send,
+    head: ResponseHead,
+    splitter: EventSplitter,
+) -> None:
+    """Raise ExchangeFailure if a stream was broken off where it ended.
+
+    The end of a connection also ends an answer without length or chunks.
+    """
+    if splitter.take_remainder():
+        raise ExchangeFailure(Fault.BROKEN, 'the stream ended inside an event')
+    if head.ends_with_connection and not sent.in_flight.is_started:
+        raise ExchangeFailure(Fault.BROKEN, 'the stream ended with no event')
+
+
 def _pass_events(
     sent: Send,
     exchange: Exchange,
