Decoding: a deeply nested or out-of-range record costs only itself

Cause: a value nested too deeply raises RecursionError, which no handler named; ports, slots and starts had no range. It left the feed's task, which began again and met the same record: nothing behind it was read. The class: bytes that become values. Open: shown at the decoders, not over real processes; a keyed record that can't be split is still skipped without a log line.

--- a/libs/admission/src/verbenamux_admission/claims.py
+++ b/libs/admission/src/verbenamux_admission/claims.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from verbenamux_contracts.decoding import DECODE_ERRORS
+
 MAX_CLAIMS = 200_000
 
 
@@ -57,7 +59,7 @@
     def _fold_one(self, body: bytes) -> None:
         try:
             batch = msgspec.json.decode(body, type=ClaimBatch)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return
         for claim in batch.claims:
             self.owner_by_digest.setdefault(claim.digest, claim.request_id)
--- a/libs/agent/src/verbenamux_agent/execution.py
+++ b/libs/agent/src/verbenamux_agent/execution.py
@@ -23,6 +23,7 @@
 )
 from verbenamux_config.entities import TargetKind
 from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.decoding import DECODE_ERRORS
 from verbenamux_contracts.errors import ErrorCode, Run
 from verbenamux_contracts.messages import (
     Broken,
@@ -102,7 +103,7 @@
             return Run.UNKNOWN
         try:
             decoded = msgspec.json.decode(answer.unwrap(), type=CancelAnswer)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return Run.UNKNOWN
         return Run(decoded.run)
 
@@ -241,7 +242,7 @@
     if attempt.chunks:
         try:
             last = msgspec.json.decode(attempt.chunks[-1], type=_LastEvent)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             used = attempt.dispatch.tokens
         else:
             used = last.usage.total_tokens
--- a/libs/config/src/verbenamux_config/fold.py
+++ b/libs/config/src/verbenamux_config/fold.py
@@ -12,6 +12,7 @@
 from verbenamux_config import operations as ops
 from verbenamux_config.references import check_references
 from verbenamux_config.state import Configuration
+from verbenamux_contracts.decoding import DECODE_ERRORS
 
 
 class RejectReason(enum.Enum):
@@ -56,7 +57,7 @@
     """
     try:
         record = decode_record(body)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return _reject(configuration, RejectReason.UNREADABLE, str(error))
     return apply_record(configuration, record)
 
--- a/libs/config/src/verbenamux_config/state.py
+++ b/libs/config/src/verbenamux_config/state.py
@@ -13,6 +13,7 @@
     Target,
     Workspace,
 )
+from verbenamux_contracts.decoding import DECODE_ERRORS
 
 SNAPSHOT_SCHEMA = 1
 AGENT_TABLES = (
@@ -71,7 +72,7 @@
     """
     try:
         snapshot = msgspec.json.decode(encoded, type=Snapshot)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise SnapshotDecodeError(str(error)) from error
     if snapshot.schema != SNAPSHOT_SCHEMA:
         raise SnapshotDecodeError(f'unknown schema {snapshot.schema}')
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from verbenamux_contracts.decoding import DECODE_ERRORS
 from verbenamux_contracts.ids import AttemptId, InstanceId, RequestId
 
 
@@ -620,5 +621,5 @@
     """Return the message in the bytes, or raise MessageDecodeError."""
     try:
         return _decoder.decode(frame)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise MessageDecodeError(str(error)) from error
--- a/libs/gateway/src/verbenamux_gateway/request_parsing.py
+++ b/libs/gateway/src/verbenamux_gateway/request_parsing.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenamux_config.access import hash_key
+from verbenamux_contracts.decoding import DECODE_ERRORS
 from verbenamux_contracts.errors import ErrorCode, RequestFailure
 
 BEARER_PREFIX = 'bearer '
@@ -109,7 +110,7 @@
         return Success(msgspec.json.decode(body, type=expected))
     except msgspec.ValidationError as error:
         return Failure(_failure(ErrorCode.INVALID_FIELD, str(error)))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         code = ErrorCode.INVALID_JSON
         if not _is_utf8(body):
             code = ErrorCode.INVALID_ENCODING
--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -16,6 +16,8 @@
 from verbenamux_http.parsing import ResponseHead, ResponseParser
 
 RECEIVE_BYTES = 65536
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 # A body up to this size fits the socket's buffer and needs no sender task.
 MAX_INLINE_BODY_BYTES = 8192
 # Used for a peer that states no idle limit of its own.
@@ -68,6 +70,8 @@
     if not separator or not host:
         raise ValueError(f'not an address: {text!r}')
     socket.inet_aton(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError(f'not a port: {port[:MAX_PORT_DIGITS]!r}')
     return host, int(port)
 
 
--- a/libs/runtime/src/verbenamux_runtime/settings.py
+++ b/libs/runtime/src/verbenamux_runtime/settings.py
@@ -12,6 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from verbenamux_contracts.decoding import DECODE_ERRORS
+
 Address = Annotated[
     str,
     msgspec.Meta(
@@ -113,7 +115,7 @@
                 dec_hook=_decode_with_unit,
             ),
         )
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(_failure_from(str(error)))
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,6 +2,7 @@
 
 import json
 from datetime import timedelta
+from functools import partial
 
 import pytest
 from gevent.pywsgi import WSGIServer
@@ -10,13 +11,19 @@
 from returns.result import Failure
 
 from verbenamux_contracts.clock import SystemClock
+from verbenamux_contracts.messages import MessageDecodeError, decode_message
 from verbenamux_http.client import ConnectionPool
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import ResponseHead
 from verbenamux_platform.dialect import encode_refusal, read_answer, read_terms
 from verbenamux_platform.engine_client import EngineCalls
 from verbenamux_platform.settings import read_process_settings
-from verbenamux_platform.store_records import decode_catalog, decode_target
+from verbenamux_platform.store_records import (
+    decode_catalog,
+    decode_member,
+    decode_target,
+    decode_verdict,
+)
 from verbenamux_relay.dialect import Refusal
 
 CONFIG = {
@@ -259,3 +266,43 @@
     assert state.unstarted == unstarted
     assert state.running_ids == frozenset(running_ids)
     server.stop()
+
+
+NESTED = b'[' * 100_000 + b']' * 100_000
+
+
+@pytest.mark.parametrize(
+    'decode',
+    [
+        decode_catalog,
+        decode_member,
+        decode_verdict,
+        partial(decode_target, 'id'),
+    ],
+)
+@pytest.mark.parametrize('odd', [NESTED, b'{"x":%b}' % NESTED, b'\xff', b''])
+def test_an_odd_record_of_another_writer_is_rejected_with_a_reason(decode, odd):
+    """Other operators: deep nesting ended the processes that read it."""
+    assert isinstance(decode(odd), Failure)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {'address': '127.0.0.1:99999'},
+        {'address': '127.0.0.1:0'},
+        {'address': '127.0.0.1:-1'},
+        {'address': '127.0.0.1:' + '9' * 5000},
+        {'slots': -5},
+        {'slots': 10**18},
+        {'born': -1},
+        {'born': 10**400},
+    ],
+)
+def test_a_target_with_a_number_out_of_range_is_rejected(odd):
+    assert isinstance(decode_target('i-1', encode(ENTRY | odd)), Failure)
+
+
+def test_a_deeply_nested_message_of_a_peer_is_rejected():
+    with pytest.raises(MessageDecodeError):
+        decode_message(b'\x91' * 100_000)
