Relay: follow what targets say of themselves: Server-Leaving, Retry-After

Cause: neither header was read from a target's answer. Change: both are read from the head of every answer, unless another target answers at the address. Leaving holds until a later start under the same id. A hold lasts 1 min at most, and is checked again right before a send; if all holders of a model want nothing, the refusal names the earliest end.

--- a/libs/relay/src/verbenamux_relay/dialect.py
+++ b/libs/relay/src/verbenamux_relay/dialect.py
@@ -28,7 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerTerms:
-    """The metadata of a target's answer."""
+    """The metadata of a target's answer.
+
+    `is_leaving` is whether the target says that it leaves, `retry_after` how
+    long it wants no requests of this gateway.
+    """
 
     request_id: str | None
     target_id: str | None
@@ -36,6 +40,8 @@
     was_not_run: bool
     is_misdirected: bool
     load: LoadNotice | None
+    is_leaving: bool = False
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -61,6 +61,7 @@
     Query,
     RoutingState,
     UnavailableReason,
+    earliest_hold_off_end,
     pick,
 )
 from verbenamux_relay.targets import REPLACED_COOLDOWN, InFlight, Target
@@ -298,6 +299,9 @@
 ) -> Choice | None:
     """Wait for the model; return no target if it will not come in time."""
     if reason is UnavailableReason.TARGET or _was_refused_by_target(last):
+        job.expected_at = job.expected_at or earliest_hold_off_end(
+            _query(job), context.routing_state, context.now()
+        )
         return Choice()
     return None if _await_model(job, context) else Choice()
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -148,10 +148,13 @@
             arrived=False,
             is_unreachable=True,
         )
-    if not is_serving(sent.target, sent.context.clock.elapsed()):
-        # It may have left since it was chosen: connecting, loading take time.
+    now = sent.context.clock.elapsed()
+    if not is_serving(sent.target, now) or sent.target.held_off_until > now:
+        # It may have said so since it was chosen: connecting takes time.
         connection.close()
-        return Outcome(Ending.NOT_RUN, 'the target leaves', arrived=False)
+        return Outcome(
+            Ending.NOT_RUN, 'the target takes no requests', arrived=False
+        )
     try:
         exchange = _start(sent, connection)
     except ExchangeFailure as failure:
@@ -212,6 +215,7 @@
     sent.in_flight.has_head = True
     terms = sent.context.dialect.read_answer(head)
     _record_load(sent, terms)
+    _record_own_word(sent, terms)
     if terms.request_id not in {None, sent.job.terms.request_id}:
         return Outcome(Ending.UNKNOWN, 'the answer is to another request')
     if terms.was_not_run:
@@ -245,6 +249,24 @@
         sent.target.load_at = sent.context.clock.elapsed()
 
 
+def _record_own_word(sent: Send, terms: AnswerTerms) -> None:
+    """Record that the target leaves, or wants nothing for a while.
+
+    Another target may answer at its address.
+    """
+    target = sent.target
+    if terms.target_id not in {None, target.entry.target_id}:
+        return
+    if terms.is_leaving and not target.has_said_leaving:
+        target.has_said_leaving = True
+        sent.job.steps.append(f'{target.entry.target_id} leaves')
+    if terms.retry_after is not None:
+        target.hold_off(sent.context.clock.elapsed(), terms.retry_after)
+        sent.job.steps.append(
+            f'{target.entry.target_id} wants nothing for {terms.retry_after}'
+        )
+
+
 def _read_refusal(
     sent: Send,
     exchange: Exchange,
--- a/libs/relay/src/verbenamux_relay/target_selection.py
+++ b/libs/relay/src/verbenamux_relay/target_selection.py
@@ -95,7 +95,9 @@
     A target whose entry was just removed is still used while it answers: the
     entry may only have lapsed.
     """
-    if target.entry.is_draining or target.replaced_until > now:
+    if target.entry.is_draining or target.has_said_leaving:
+        return False
+    if target.replaced_until > now:
         return False
     if target.removed_at is None:
         return True
@@ -135,6 +137,9 @@
         ]
     if not capable:
         return UnavailableReason.MODEL
+    capable = [target for target in capable if target.held_off_until <= now]
+    if not capable:
+        return UnavailableReason.TARGET
     reachable = [
         target
         for target in capable
@@ -154,6 +159,22 @@
     return choose(options, affinity_key) or UnavailableReason.TARGET
 
 
+def earliest_hold_off_end(
+    query: Query, routing_state: RoutingState, now: timedelta
+) -> timedelta | None:
+    """Return when the first target that is held off takes requests again."""
+    return min(
+        (
+            target.held_off_until
+            for target in routing_state.target_table.of_service(
+                query.service.name
+            )
+            if is_serving(target, now) and target.held_off_until > now
+        ),
+        default=None,
+    )
+
+
 def holdings(
     target_table: TargetTable,
     service: str,
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -24,6 +24,8 @@
 # A target at whose address another one answers gets no requests for this long;
 # the registry drops its entry after three missed check-ins.
 REPLACED_COOLDOWN = timedelta(seconds=5)
+# A target is held off for at most this long after one refusal.
+MAX_HOLD_OFF = timedelta(minutes=1)
 # Ids of removed targets that are remembered.
 MAX_REMOVED_IDS = 1000
 
@@ -97,6 +99,8 @@
     """The state of one target.
 
     Once removed, it still gets requests until `serves_until` if it answers.
+    `has_said_leaving` is its own word, which holds for this lifetime of it. It
+    wants no requests of this gateway before `held_off_until`.
     """
 
     entry: TargetEntry
@@ -112,6 +116,8 @@
     removed_at: timedelta | None = None
     serves_until: timedelta = timedelta()
     replaced_until: timedelta = timedelta()
+    held_off_until: timedelta = timedelta()
+    has_said_leaving: bool = False
 
     @property
     def models(self) -> frozenset[str]:
@@ -182,6 +188,11 @@
         """Record that another target answers at its address."""
         self.replaced_until = now + REPLACED_COOLDOWN
 
+    def hold_off(self, now: timedelta, wanted: timedelta) -> None:
+        """Send it nothing for as long as it wants, within a bound."""
+        until = now + min(wanted, MAX_HOLD_OFF)
+        self.held_off_until = max(self.held_off_until, until)
+
     def record_success(self, now: timedelta) -> None:
         """Record that the target answered."""
         self.last_received_at = now
@@ -237,6 +248,8 @@
             self.by_id[entry.target_id] = target
         if entry.started_ms > target.entry.started_ms:
             target.replaced_until = timedelta()
+            target.held_off_until = timedelta()
+            target.has_said_leaving = False
         target.entry = entry
         target.removed_at = None
         if is_new:
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -1,5 +1,6 @@
 """State of targets that share an address or restarted."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -90,3 +91,17 @@
     assert target.is_suspect(last_received_at + SUSPECT_TIMEOUT * 1.1)
     target.in_flight.clear()
     assert not target.is_suspect(last_received_at + SUSPECT_TIMEOUT * 2)
+
+
+def test_a_targets_own_word_ends_with_its_lifetime():
+    table = TargetTable()
+    old = TargetEntry('t', 's', ('127.0.0.1', 1), 'here', 8, started_ms=1)
+    table.add_or_update(old, timedelta())
+    target = table.by_id['t']
+    target.has_said_leaving = True
+    target.hold_off(timedelta(), timedelta(seconds=9))
+    table.add_or_update(old, timedelta())
+    assert target.has_said_leaving
+    table.add_or_update(replace(old, started_ms=2), timedelta())
+    assert not target.has_said_leaving
+    assert not target.held_off_until
