Logs: a target's own word, and what is suspected after a crash

target_said_leaving and target_held_off tell which answer said so; explain leads from a request to the parts that are suspected. A gateway counts 20 answers of a suspected part at most: more change no decision, and each change is a report to all others. Before: the steps of a request held a target's own word, which its line omits when it was delivered.

--- a/libs/ctl/src/verbenamux_ctl/explaining.py
+++ b/libs/ctl/src/verbenamux_ctl/explaining.py
@@ -115,6 +115,14 @@
     return f'; {arrived} had arrived {line["sent_ms"]} ms after the send'
 
 
+def _describe_suspicion(line: Line) -> str:
+    return (
+        f'target {line["target"]} ended as it began to answer: prompt parts '
+        f'{", ".join(line["parts"])} are suspected, with {line["crashes"]} '
+        f'crashes known'
+    )
+
+
 def _describe_end(line: Line) -> str:
     sentence = (
         f'at {line["instance"]} the request on route {line["route"]} for '
@@ -153,6 +161,7 @@
     'refused': _describe_refusal,
     'request_refused': _describe_early_refusal,
     'target_failed': _describe_target_failure,
+    'crash_suspected': _describe_suspicion,
     'request_ended': _describe_end,
     'request_cut': _describe_cut,
 }
--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -35,7 +35,7 @@
 MAX_INSTANCES = 200
 MAX_FORGIVEN_IDS = 1000
 # Answers that are counted for a suspected part: more change no decision.
-MAX_ANSWERS = 100
+MAX_ANSWERS = 20
 # Parts of one prompt that are considered, and their length.
 MAX_PARTS = 16
 MAX_PART_LENGTH = 64
@@ -117,7 +117,7 @@
         self._log(
             'crash_suspected',
             request_id=terms.request_id,
-            crash=crash_id,
+            target=crash_id,
             workspace=workspace,
             parts=parts,
             crashes=len(self._crash_by_id),
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import TypeVar
 
-from verbenamux_contracts.clock import Clock
+from verbenamux_contracts.clock import Clock, to_milliseconds
 from verbenamux_http.client import (
     Connection,
     ConnectionPool,
@@ -100,6 +100,7 @@
     pool: ConnectionPool
     dialect: Dialect
     on_first_event: Callable[[Job, Target, InFlight], None]
+    log: Callable[..., None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,11 +260,18 @@
         return
     if terms.is_leaving and not target.has_said_leaving:
         target.has_said_leaving = True
-        sent.job.steps.append(f'{target.entry.target_id} leaves')
+        sent.context.log(
+            'target_said_leaving',
+            request_id=sent.job.terms.request_id,
+            target=target.entry.target_id,
+        )
     if terms.retry_after is not None:
         target.hold_off(sent.context.clock.elapsed(), terms.retry_after)
-        sent.job.steps.append(
-            f'{target.entry.target_id} wants nothing for {terms.retry_after}'
+        sent.context.log(
+            'target_held_off',
+            request_id=sent.job.terms.request_id,
+            target=target.entry.target_id,
+            wanted_ms=to_milliseconds(terms.retry_after),
         )
 
 
--- a/tests/ctl/test_explaining.py
+++ b/tests/ctl/test_explaining.py
@@ -78,6 +78,8 @@
 FAILED = """{"time":"t1","event":"target_failed","instance":"gateway-0",\
 "request_id":"id-9","target":"i-1","cause":"closed","failure_rate":0.15,\
 "in_row":0,"sent_ms":116,"has_head":true,"has_event":false}
+{"time":"t2","event":"crash_suspected","request_id":"id-9","target":"i-1@7",\
+"parts":["a","dead"],"crashes":2}
 """
 
 
@@ -86,5 +88,6 @@
 ) -> None:
     path = tmp_path / 'gateway.log'
     path.write_text(FAILED)
-    (sentence,) = explain(read_lines(path, 'id-9'))
-    assert 'a head and no event had arrived 116 ms after the send' in sentence
+    failure, suspicion = explain(read_lines(path, 'id-9'))
+    assert 'a head and no event had arrived 116 ms after the send' in failure
+    assert 'parts a, dead are suspected, with 2 crashes known' in suspicion
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -214,7 +214,9 @@
 
         demand = DemandMeter(clock.elapsed)
         return RelayContext(
-            send_context=SendContext(clock, pool, dialect, on_first_event),
+            send_context=SendContext(
+                clock, pool, dialect, on_first_event, self.log
+            ),
             outcome_context=OutcomeContext(
                 clock,
                 dialect,
