--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -17,6 +17,7 @@
 
 RECEIVE_BYTES = 65536
 MAX_PORT = 65535
+# Digits of a malformed port that an error shows.
 MAX_PORT_DIGITS = 5
 # A body up to this size fits the socket's buffer and needs no sender task.
 MAX_INLINE_BODY_BYTES = 8192
--- a/libs/relay/src/verbenamux_relay/crash_evidence.py
+++ b/libs/relay/src/verbenamux_relay/crash_evidence.py
@@ -23,8 +23,6 @@
 CRASH_WEIGHT = log(MIN_CRASH_RATE / COINCIDENCE_RATE)
 ANSWER_WEIGHT = log((1 - MIN_CRASH_RATE) / (1 - COINCIDENCE_RATE))
 CONVICTION_WEIGHT = -log(FALSE_CONVICTION_RATE)
-
-
 # Parts that are convicted together when no evidence tells them apart.
 MAX_JOINT_PARTS = 3
 
