Read once more: one meaning of a verdict's version, one of shared parts

Both are properties of the type now. Checks: lint, types, imports, and the tests of relay, platform and ctl that touch these lines, all passed.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -468,6 +468,16 @@
     version: int
     workspaces: tuple[str, ...] = ()
 
+    @property
+    def is_conviction(self) -> bool:
+        """Return whether requests are refused."""
+        return bool(self.version % 2)
+
+    @property
+    def probes(self) -> int:
+        """Return how many probes and releases preceded it."""
+        return self.version // 2
+
 
 class CrashEvidence(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway knows of prompt parts that crash targets.
--- a/libs/ctl/src/verbenamux_ctl/cli.py
+++ b/libs/ctl/src/verbenamux_ctl/cli.py
@@ -240,7 +240,7 @@
     for parts, verdict in outcome.unwrap().items():
         line = {
             'parts': parts,
-            'probes': verdict.version // 2,
+            'probes': verdict.probes,
             'workspaces': verdict.workspaces,
         }
         typer.echo(msgspec.json.encode(line).decode())
--- a/libs/ctl/src/verbenamux_ctl/verdicts.py
+++ b/libs/ctl/src/verbenamux_ctl/verdicts.py
@@ -68,7 +68,7 @@
         if record.content is None or not record.key.startswith(VERDICT_PREFIX):
             continue
         decoded = decode_verdict(record.content)
-        if isinstance(decoded, Success) and decoded.unwrap().version % 2:
+        if isinstance(decoded, Success) and decoded.unwrap().is_conviction:
             yield record.key.removeprefix(VERDICT_PREFIX), decoded.unwrap()
 
 
--- a/libs/relay/src/verbenamux_relay/prompt_cache.py
+++ b/libs/relay/src/verbenamux_relay/prompt_cache.py
@@ -59,7 +59,7 @@
 
 def shared_tokens(terms: RequestTerms) -> int:
     """Return the tokens of the parts that other requests may share."""
-    return sum(part.tokens for part in terms.parts[:-1])
+    return sum(part.tokens for part in terms.shared_parts)
 
 
 def affinity(terms: RequestTerms) -> str:
@@ -70,5 +70,5 @@
     """
     if terms.adapter is not None:
         return terms.model_key
-    shared = ','.join(part.part_id for part in terms.parts[:-1])
+    shared = ','.join(part.part_id for part in terms.shared_parts)
     return f'{terms.model_key}:{shared}'
--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -192,7 +192,7 @@
     def release(self, key: str, *, is_own: bool = False) -> None:
         """End a conviction; `is_own` is whether to save that in the store."""
         known = self._known_by_key.get(key)
-        if known is None or not _is_convicted(known.verdict):
+        if known is None or not known.verdict.is_conviction:
             return
         self._set_verdict(
             key,
@@ -260,19 +260,19 @@
         if now - self._started_at < self._settle_time():
             return
         crashes = tuple(self._crash_by_id.values())
-        for culprit in tuple(find_culprits(crashes, self._answers())):
+        for culprit in find_culprits(crashes, self._answers()):
             self._convict(culprit)
 
     def _convictions(self) -> Iterator[tuple[str, _Known]]:
         for key, known in tuple(self._known_by_key.items()):
-            if _is_convicted(known.verdict):
+            if known.verdict.is_conviction:
                 yield key, known
 
     def _begin_probe(
         self, key: str, known: _Known, terms: RequestTerms
     ) -> bool:
         """Return whether this request probes the part, and record it."""
-        probes = known.verdict.version // 2
+        probes = known.verdict.probes
         wait = min(
             FIRST_PROBE_WAIT * PROBE_WAIT_FACTOR ** min(probes, 9),
             MAX_PROBE_WAIT,
@@ -400,7 +400,7 @@
         known = self._known_by_key.get(key)
         if known is None or verdict.version > known.verdict.version:
             self._log(
-                'verdict_adopted', parts=key, convicted=_is_convicted(verdict)
+                'verdict_adopted', parts=key, convicted=verdict.is_conviction
             )
             self._set_verdict(key, verdict, is_own=False)
         elif verdict.version == known.verdict.version:
@@ -423,7 +423,7 @@
         if len(self._known_by_key) > MAX_VERDICTS:
             self._known_by_key.popitem(last=False)
         self.has_news = True
-        if not _is_convicted(verdict):
+        if not verdict.is_conviction:
             self._log('parts_released', parts=key, version=verdict.version)
             self._forgive(self._known_by_key[key].parts)
 
@@ -438,11 +438,7 @@
 
 
 def _shared_parts(terms: RequestTerms) -> tuple[str, ...]:
-    """Return the parts that other requests may share.
-
-    The last part of a prompt belongs to its request alone.
-    """
-    return _bounded(tuple(part.part_id for part in terms.parts[:-1]))
+    return _bounded(tuple(part.part_id for part in terms.shared_parts))
 
 
 def _bounded(parts: tuple[str, ...]) -> tuple[str, ...]:
@@ -451,14 +447,9 @@
     )
 
 
-def _is_convicted(verdict: Verdict) -> bool:
-    """Return whether a verdict stands; a release makes its version even."""
-    return bool(verdict.version % 2)
-
-
 def _applies(verdict: Verdict, workspace: str) -> bool:
     """Return whether a verdict stands for the requests of a workspace."""
-    return _is_convicted(verdict) and (
+    return verdict.is_conviction and (
         workspace in verdict.workspaces
         or len(verdict.workspaces) >= MIN_SHARED_WORKSPACES
     )
--- a/libs/relay/src/verbenamux_relay/terms.py
+++ b/libs/relay/src/verbenamux_relay/terms.py
@@ -31,6 +31,14 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may share.
+
+        The last part of a prompt belongs to its request alone.
+        """
+        return self.parts[:-1]
+
     @property
     def model_key(self) -> str:
         """Return the model with its adapter, which have their own cache."""
