--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -271,6 +271,7 @@
     """Run a case; `run` returns what broke the rule, as lines of text."""
     fleet = None
     code, last = 2, []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         if not (ROOT / 'target' / 'deps').is_dir():
             raise CouldNotRun('the build of the deploy file is missing')
