--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,9 @@
 DEADLY, FIRST = 'dead0001', 'first001'
 DEADLY_DOWN_S = 3.0
 # Two of six servers crash for 2 s, as the bench does at a share of .25.
-CRASH_AT, CRASHED, CRASH_DOWN_S = (9.0, 13.0, 17.0, 21.0), (1, 2), 2.0
+CRASH_AT, CRASH_DOWN_S = (9.0, 13.0, 17.0, 21.0), 2.0
+CRASHED = ((1, 2), (3, 4), (5, 6), (1, 2))
+SESSIONS = 24
 PLAY_S = 60.0
 RATE = 60
 # 9,190 tokens, read at 38.4 in a ms.
@@ -33,12 +35,12 @@
 
     def crash(self):
         began = time.monotonic()
-        for at in CRASH_AT:
+        for at, numbers in zip(CRASH_AT, CRASHED, strict=True):
             time.sleep(max(began + at - time.monotonic(), 0))
-            for number in CRASHED:
+            for number in numbers:
                 self.planned[number] = True
                 self.fleet.servers[number].kill()
-            self.fleet.note(f'servers {CRASHED} crash')
+            self.fleet.note(f'servers {numbers} crash')
 
     def restart(self):
         down_since = {}
@@ -86,7 +88,7 @@
     while time.monotonic() - began < PLAY_S:
         time.sleep(max(began + tick / RATE - time.monotonic(), 0))
         gateway = GATEWAYS[tick % len(GATEWAYS)]
-        parts = [FIRST, f'session{tick % 9}', f'own{tick}']
+        parts = [FIRST, f'session{tick % SESSIONS}', f'own{tick}']
         sound_ids.add(
             callers.send(gateway, '/draft/x', parts, prefix='sound')
         )
