--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,11 +17,10 @@
 # Two of these fit a server.
 SIZE_MB, SERVER_MB = 72700, 200000
 HELD = {1: ('m1', 'm2'), 2: ('m3', 'm4')}
-RARE = ('m5', 'm6', 'm7')
+RARE = ('m5', 'm6', 'm7', 'm8', 'm9')
 MODELS = (*(name for names in HELD.values() for name in names), *RARE)
 UNANSWERED, LATE_S = 4, 2.0
-ROUND_S = 14.0
-ROUNDS = 2
+PLAY_S = 16.0
 
 
 def run(fleet):
@@ -55,30 +54,29 @@
 
     callers = Callers(fleet)
     rare = []
-    for _ in range(ROUNDS):
-        began = time.monotonic()
-        # Rare models are asked for at once.
-        for model in RARE:
-            rare.append(
-                callers.send(
-                    GATEWAYS[0],
-                    '/ask/x',
-                    ['first001', 'own'],
-                    prefix='rare',
-                    model=model,
-                    deadline_ms=15000,
-                )
+    began = time.monotonic()
+    # Rare models are asked for at once.
+    for model in RARE:
+        rare.append(
+            callers.send(
+                GATEWAYS[0],
+                '/ask/x',
+                ['first001', 'own'],
+                prefix='rare',
+                model=model,
+                deadline_ms=15000,
             )
-        while time.monotonic() - began < ROUND_S:
-            for models in HELD.values():
-                callers.send(
-                    GATEWAYS[1],
-                    '/ask/x',
-                    ['first001', 'own'],
-                    model=models[1],
-                    deadline_ms=15000,
-                )
-            time.sleep(0.5)
+        )
+    while time.monotonic() - began < PLAY_S:
+        for models in HELD.values():
+            callers.send(
+                GATEWAYS[1],
+                '/ask/x',
+                ['first001', 'own'],
+                model=models[1],
+                deadline_ms=15000,
+            )
+        time.sleep(0.5)
     callers.wait(16)
 
     orders = fleet.book_lines('order')
