--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -22,8 +22,6 @@
     'work_ms': 50,
     'first_event_ms': 60,
     'event_ms': 30,
-    # Whether the head of a stream is sent before its prompt was read.
-    'head_at_once': False,
     'events': 12,
     # A part that crashes the server as it begins to write an answer on it,
     # after this many events were written.
@@ -337,13 +335,9 @@
                 ('Content-Type', 'text/event-stream'),
                 ('Transfer-Encoding', 'chunked'),
             ]
-            head = encode('HTTP/1.1 200 OK', headers)
-            if self.field['head_at_once']:
-                opened.sendall(head)
             time.sleep(self.field['first_event_ms'] / 1000)
             self.note('run', request_id)
-            if not self.field['head_at_once']:
-                opened.sendall(head)
+            opened.sendall(encode('HTTP/1.1 200 OK', headers))
             if self.field['endless_part'] in part_ids:
                 self.flood(opened, request_id)
             for number in range(first, self.field['events'] + 1):
