Give way to sockets while a target sends tiny events without end

Callers saw no answer from a gateway for the 6 s that one server's stream of empty lines lasted.

Cause: 64 KB of empty lines were 32,000 events, each with a write of its own, and the reader gave way with sleep(0), which runs up to 50 ready callbacks before the event loop looks at a socket or timer again.

Evidence: a task that works for 3 ms between sleep(0) calls kept a timer of 1 ms waiting for 150 ms, with poll_event_loop for 6 ms. With batches of events and sleep(0), empty lines in chunks of two bytes still held the loop for 145 ms; with both changes no case of the new test holds it for 120 ms.

Ruled out: a slow caller (writes to it wait); the limits for answers without end, which an empty line reset as it counted as an event.

Change: empty lines belong to the event behind them, so an event's limit applies. Events that arrived together are passed on in one write, up to 64, and other tasks run in between. Chunks that arrived together are one piece. A listener that discards a refused caller's bytes gives way in the same way.

test_other_tasks_run_beside_a_peer_faster_than_the_reader counted 400,000 chunks of ten bytes; as a read now returns all chunks at once it counts their 4,000,000 bytes, the same answer.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -8,10 +8,11 @@
 from datetime import timedelta
 from io import BytesIO
 
-from gevent import Greenlet, Timeout, sleep, socket, spawn
+from gevent import Greenlet, Timeout, socket, spawn
 from gevent.event import Event
 
 from verbenamux_http.errors import ExchangeFailure, Fault
+from verbenamux_http.event_loop import poll_event_loop
 from verbenamux_http.headers import Headers, read_whole_number
 from verbenamux_http.parsing import ResponseHead, ResponseParser
 
@@ -263,17 +264,17 @@
         return self._parser.head
 
     def read_piece(self, timeout: timedelta) -> bytes | None:
-        """Wait for more of the body; None is its end.
+        """Wait for more of the body, and return all of it that was received.
 
-        Bytes that are not part of the body do not extend the time. Raises
-        ExchangeFailure when the body is truncated.
+        None is its end. Bytes that are not part of the body do not extend the
+        time. Raises ExchangeFailure when the body is truncated.
         """
         deadline = self._context.elapsed() + timeout
         while not self._parser.pieces:
             if self._parser.is_complete:
                 return None
             self._receive(deadline)
-        return self._parser.pieces.popleft()
+        return self._parser.take_body()
 
     def read_body(self, remaining: Callable[[], timedelta]) -> bytes:
         """Return the whole body; raises ExchangeFailure.
@@ -376,7 +377,7 @@
         self._bytes_since_yield += received_bytes
         if self._bytes_since_yield >= RECEIVE_BYTES:
             self._bytes_since_yield = 0
-            sleep(0)
+            poll_event_loop()
 
     def _receive_within(self, seconds: float) -> bytes:
         if self._sender is None:
--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -229,6 +229,12 @@
                 f'{self._framing_bytes} bytes in a row without a body',
             )
 
+    def take_body(self) -> bytes:
+        """Return the queued pieces as one, however small the chunks were."""
+        body = b''.join(self.pieces)
+        self.pieces.clear()
+        return body
+
     def finish(self) -> None:
         """Treat the peer's close as the end, where the framing allows it."""
         if self.head is not None and self.head.ends_with_connection:
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -19,6 +19,7 @@
     ListenerStopping,
     RequestError,
 )
+from verbenamux_http.event_loop import poll_event_loop
 from verbenamux_http.headers import Headers
 from verbenamux_http.parsing import Request, RequestParser, SizeLimits
 
@@ -469,7 +470,7 @@
         self._socket.shutdown(socket.SHUT_WR)
         self._socket.settimeout(LINGER_TIMEOUT.total_seconds())
         while self._socket.recv(RECEIVE_BYTES):
-            sleep(0)
+            poll_event_loop()
 
 
 def _never() -> bool:
--- a/libs/relay/src/verbenamux_relay/events.py
+++ b/libs/relay/src/verbenamux_relay/events.py
@@ -1,12 +1,15 @@
 """Splits the bytes of a stream into complete events with their ids."""
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from verbenamux_http.errors import ExchangeFailure, Fault
 
-BOUNDARIES = (b'\n\n', b'\r\n\r\n')
-MAX_BOUNDARY_BYTES = max(map(len, BOUNDARIES))
+LINE_ENDS = b'\r\n'
+# A blank line ends an event only after a line that is not blank.
+EVENT_END = re.compile(rb'[^\r\n]\r?\n\r?\n')
+MAX_EVENT_END_BYTES = 5
 # An event holds a few tokens of some bytes each; this limit is a quarter of a
 # caller's largest request by default.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -14,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """The bytes of one event; `event_id` is None if it has no id."""
+    """The bytes of one event, with the blank lines ahead of it.
+
+    `event_id` is None if it has no id.
+    """
 
     encoded: bytes
     event_id: str | None
@@ -35,13 +41,13 @@
         Raises ExchangeFailure if the incomplete one exceeds the limit.
         """
         self._buffer += piece
-        end = _first_boundary(self._buffer, self._searched_bytes)
-        while end is not None:
-            encoded = bytes(self._buffer[:end])
-            del self._buffer[:end]
+        found = EVENT_END.search(self._buffer, self._searched_bytes)
+        while found is not None:
+            encoded = bytes(self._buffer[: found.end()])
+            del self._buffer[: len(encoded)]
             yield StreamEvent(encoded, _event_id(encoded))
-            end = _first_boundary(self._buffer, 0)
-        self._searched_bytes = max(0, len(self._buffer) - MAX_BOUNDARY_BYTES)
+            found = EVENT_END.search(self._buffer)
+        self._searched_bytes = max(0, len(self._buffer) - MAX_EVENT_END_BYTES)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ExchangeFailure(
                 Fault.TOO_LARGE,
@@ -56,16 +62,6 @@
         return remainder
 
 
-def _first_boundary(encoded: bytearray, start: int) -> int | None:
-    """Return the end of the first boundary after `start`."""
-    end = None
-    for boundary in BOUNDARIES:
-        found = encoded.find(boundary, start, end)
-        if found >= 0:
-            end = found + len(boundary)
-    return end
-
-
 def _event_id(encoded: bytes) -> str | None:
     for line in encoded.splitlines():
         if line.startswith(b'id:'):
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -1,9 +1,10 @@
 """Sends a request to one target once, up to its answer or failure."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import islice
 from typing import TypeVar
 
 from verbenamux_contracts.clock import Clock, to_milliseconds
@@ -14,10 +15,11 @@
     Outgoing,
 )
 from verbenamux_http.errors import ExchangeFailure, Fault
+from verbenamux_http.event_loop import poll_event_loop
 from verbenamux_http.parsing import ResponseHead
 from verbenamux_relay.catalog import RouteKind
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
-from verbenamux_relay.events import EventSplitter, StreamEvent
+from verbenamux_relay.events import LINE_ENDS, EventSplitter, StreamEvent
 from verbenamux_relay.job import Job, Stage
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import InFlight, Target
@@ -39,6 +41,9 @@
 # head, and reading more costs as much as a new connection.
 REFUSAL_READ_TIMEOUT = timedelta(milliseconds=100)
 MAX_REFUSAL_BYTES = 65536
+# Events that arrived together are passed on in batches of up to this many, with
+# the other tasks in between: a target may send tiny ones without end.
+MAX_BATCH_EVENTS = 64
 # Subtracted from the time left sent to the target, for the answer's way back.
 RETURN_MARGIN = timedelta(milliseconds=5)
 # Statuses that guarantee to a caller that its request has not run.
@@ -313,29 +318,34 @@
     splitter = EventSplitter()
     try:
         _pass_events(sent, exchange, head, splitter)
-        _check_stream_end(sent, head, splitter)
+        blank_lines = _end_stream(sent, head, splitter)
     except ExchangeFailure as failure:
         if sent.job.events:
             return Outcome(Ending.BROKEN_OFF, failure.message)
         raise
     _start_reply(sent, head)
+    if blank_lines:
+        sent.job.reply.send_piece(blank_lines)
     sent.job.reply.finish()
     return Outcome(Ending.DELIVERED)
 
 
-def _check_stream_end(
+def _end_stream(
     sent: Send,
     head: ResponseHead,
     splitter: EventSplitter,
-) -> None:
-    """Raise ExchangeFailure if a stream was broken off where it ended.
+) -> bytes:
+    """Return the blank lines behind the last event of a whole stream.
 
-    The end of a connection also ends an answer without length or chunks.
+    Raises ExchangeFailure if the stream was broken off where it ended. The
+    end of a connection also ends an answer without length or chunks.
     """
-    if splitter.take_remainder():
+    remainder = splitter.take_remainder()
+    if remainder.strip(LINE_ENDS):
         raise ExchangeFailure(Fault.BROKEN, 'the stream ended inside an event')
     if head.ends_with_connection and not sent.in_flight.is_started:
         raise ExchangeFailure(Fault.BROKEN, 'the stream ended with no event')
+    return remainder
 
 
 def _pass_events(
@@ -347,23 +357,48 @@
     since = sent.context.clock.elapsed()
     piece = _await(sent, exchange.read_piece, since)
     while piece is not None:
-        for event in splitter.feed(piece):
+        for events in _batches(splitter.feed(piece)):
             sent.record_received()
-            _pass_event(sent, head, event)
+            _pass_batch(sent, head, events)
             # Only after it is passed on: a slow caller is no target delay.
             since = sent.context.clock.elapsed()
+            if len(events) == MAX_BATCH_EVENTS:
+                _yield_to_other_tasks(sent)
         piece = _await(sent, exchange.read_piece, since)
 
 
-def _pass_event(sent: Send, head: ResponseHead, event: StreamEvent) -> None:
+def _batches(
+    events: Iterator[StreamEvent],
+) -> Iterator[tuple[StreamEvent, ...]]:
+    """Group events that arrived together."""
+    while batch := tuple(islice(events, MAX_BATCH_EVENTS)):
+        yield batch
+
+
+def _pass_batch(
+    sent: Send,
+    head: ResponseHead,
+    events: tuple[StreamEvent, ...],
+) -> None:
     job = sent.job
     if not sent.in_flight.is_started:
         job.stage = Stage.STREAM
         sent.context.on_first_event(job, sent.target, sent.in_flight)
     _start_reply(sent, head)
-    job.reply.send_piece(event.encoded)
-    job.events += 1
-    job.last_event_id = event.event_id or job.last_event_id
+    job.reply.send_piece(b''.join(event.encoded for event in events))
+    job.events += len(events)
+    for event in events:
+        job.last_event_id = event.event_id or job.last_event_id
+
+
+def _yield_to_other_tasks(sent: Send) -> None:
+    """Let other tasks run between events that are already received.
+
+    Raises ExchangeFailure when no time is left, as a read would.
+    """
+    poll_event_loop()
+    if sent.time_left() <= timedelta():
+        raise ExchangeFailure(Fault.TIMED_OUT, 'no time left for more events')
 
 
 def _start_reply(sent: Send, head: ResponseHead) -> None:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -372,8 +372,9 @@
 
     other = gevent.spawn(work)
     # About 100 receives; by then the peer has always sent more.
-    for _ in range(400_000):
-        exchange.read_piece(SOON)
+    unread_bytes = 4_000_000
+    while unread_bytes > 0:
+        unread_bytes -= len(exchange.read_piece(SOON))
     other.kill()
     exchange.close()
     listener.close()
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -26,6 +26,12 @@
     assert reply.body == EVENT
 
 
+def test_blank_lines_behind_the_last_event_are_no_cut():
+    reply = ask_for_a_stream(UNFRAMED_HEAD, EVENT, b'\n\r\n')
+    assert reply.is_complete
+    assert reply.body == EVENT + b'\n\r\n'
+
+
 def test_an_unframed_stream_that_ends_inside_an_event_is_broken_off():
     """Issue 28: it reached the caller as a complete stream."""
     reply = ask_for_a_stream(UNFRAMED_HEAD, EVENT, b'id: 2\nda')
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -1,9 +1,12 @@
 """Targets that send endless bytes instead of an answer."""
 
+import contextlib
 from dataclasses import replace
+from datetime import timedelta
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from relay.world import (
     DONE,
@@ -18,6 +21,8 @@
 from verbenamux_relay.catalog import RouteKind
 
 TRICKLE_INTERVAL = 0.05
+# `pass_ms` of the sites: how late an event may be passed on.
+PASS_TIME = timedelta(milliseconds=120)
 FLOOD_INTERVAL = 0.0005
 BLOCK = b'x' * 65536
 BIG_CHUNK = b'10000\r\n%b\r\n' % BLOCK
@@ -145,3 +150,61 @@
     assert reply.status == 200
     assert world.clock.elapsed() - started < SECOND * 0.5
     assert endless.was_closed.wait(2)
+
+
+class FloodingTarget(FakeTarget):
+    """A target that sends a block over and over, as fast as it is read."""
+
+    def __init__(self, block):
+        super().__init__()
+        self.block = block
+        self.was_closed = Event()
+
+    def answer(self, opened):
+        with contextlib.suppress(OSError):
+            opened.sendall(STREAM_HEAD)
+            while True:
+                opened.sendall(self.block)
+        self.was_closed.set()
+        return False
+
+
+@pytest.mark.parametrize(
+    'line',
+    [b'\n', b'\r\n', b':\n\n', b'id:\n\n', b'data: x\r\n\r\n'],
+)
+@pytest.mark.parametrize('chunk_bytes', [2, 16384])
+def test_a_stream_of_tiny_events_without_end_holds_up_a_gateway(
+    line, chunk_bytes
+):
+    """Review case 2: the gateway answered nothing else for six seconds."""
+    body = line * (65536 // len(line))
+    block = b''.join(
+        b'%x\r\n%b\r\n' % (len(piece), piece)
+        for piece in (
+            body[start : start + chunk_bytes]
+            for start in range(0, len(body), chunk_bytes)
+        )
+    )
+    flooding = FloodingTarget(block)
+    world = World(
+        flooding, kind=RouteKind.STREAMING, is_resumable=False, max_attempts=1
+    )
+    held_times = []
+
+    def measure_holds():
+        while True:
+            began = world.clock.elapsed()
+            gevent.sleep(0.001)
+            held_times.append(world.clock.elapsed() - began)
+
+    measuring = gevent.spawn(measure_holds)
+    started = world.clock.elapsed()
+    with gevent.Timeout(10):
+        reply = world.ask()
+    took = world.clock.elapsed() - started
+    measuring.kill()
+    assert not reply.is_complete or reply.status == 502
+    assert flooding.was_closed.wait(1)
+    assert took < SECOND * 1.1
+    assert max(held_times) < PASS_TIME
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -237,6 +237,19 @@
     assert b''.join(event.encoded for event in events) + rest == STREAM
 
 
+@pytest.mark.parametrize('blank', [b'\n', b'\r\n'])
+def test_blank_lines_are_passed_on_and_count_as_no_events(blank):
+    """Review case 2: a target sent 32,000 such events in 64 KB."""
+    splitter = EventSplitter()
+    first, second = splitter.feed(b'id: 1\n\n' + blank * 5 + b'id: 2\n\n')
+    assert first.encoded == b'id: 1\n\n'
+    assert second.encoded == blank * 5 + b'id: 2\n\n'
+    with pytest.raises(ExchangeFailure) as raised:
+        for _ in range(2 * MAX_EVENT_BYTES // 65536):
+            assert not list(splitter.feed(blank * 65536))
+    assert raised.value.fault is Fault.TOO_LARGE
+
+
 def test_an_event_without_end_fails_at_the_size_limit():
     splitter = EventSplitter()
     assert list(splitter.feed(b'data: a\n\n' + b'x' * 65536))
