Never write a second target's answer into a stream that has begun

Consumers found `HTTP/1.1 413 Content Too Large` where the size of the next chunk was due, in a stream that the log called delivered.

Cause: a signed answer below 500 that is no 200 was taken as a whole answer also where events had been passed on, and its delivery began with a head.

Change: such an answer ends the send as broken off, so a third target may go on with the stream, or it ends without its end. A reply refuses a second head, whatever writes it by mistake.

--- a/libs/http/src/verbenamux_http/errors.py
+++ b/libs/http/src/verbenamux_http/errors.py
@@ -29,6 +29,10 @@
     message: str
 
 
+class AnswerStartedError(Exception):
+    """A second head for a request whose answer has begun: a bug."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestError(Exception):
     """A caller's bytes that are refused, with the status to refuse them.
--- a/libs/http/src/verbenamux_http/server.py
+++ b/libs/http/src/verbenamux_http/server.py
@@ -15,6 +15,7 @@
 
 from verbenamux_http.close_watch import CloseWatch, has_closed, peek
 from verbenamux_http.errors import (
+    AnswerStartedError,
     CallerDisconnected,
     ListenerStopping,
     RequestError,
@@ -63,7 +64,8 @@
 class Reply:
     """The answer to one request, written as it becomes available.
 
-    Raises CallerDisconnected when the caller accepts no more bytes.
+    Raises CallerDisconnected when the caller accepts no more bytes, and
+    AnswerStartedError when a head would follow another one.
     """
 
     def __init__(
@@ -134,6 +136,8 @@
             )
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
+        if self.is_started:
+            raise AnswerStartedError(f'an answer with {status} inside another')
         self.is_started = True
         reason = REASON_BY_STATUS.get(status, 'Status')
         start = f'HTTP/1.1 {status} {reason}\r\n'.encode()
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -61,7 +61,7 @@
     UNKNOWN: it may have run, and no usable answer came.
     FAILED: the target answered with a failure of its own.
     DELIVERED: the caller has the whole answer, or `answer` holds it.
-    BROKEN_OFF: a stream ended early after its first event.
+    BROKEN_OFF: a stream that has begun did not go on to its end.
     """
 
     NOT_RUN = 'not_run'
@@ -231,6 +231,12 @@
         if not terms.is_signed and not sent.job.events:
             return Outcome(Ending.UNKNOWN, 'the answer bears no proof')
         return _pass_stream(sent, exchange, head)
+    if sent.job.reply.is_started:
+        # Only further events of the stream can follow what the caller has.
+        return Outcome(
+            Ending.BROKEN_OFF,
+            f'the target answered {head.status} to the rest of a stream',
+        )
     answer = WholeAnswer(head, exchange.read_body(sent.time_left))
     return _answer_outcome(answer, terms)
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -365,6 +365,21 @@
 OLD_GET = b'GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
 
 
+def test_a_second_head_is_written_into_an_answer_that_began(edge):
+    """Review case 3: an error's status line came inside a chunked body."""
+
+    def handle(_request, reply):
+        reply.start(200, Headers())
+        reply.send_piece(b'one')
+        reply.send(413, Headers(), b'too long')
+
+    edge.handle = handle
+    caller = edge.connect()
+    caller.sendall(GET)
+    assert read_all(caller).endswith(b'\r\n\r\n3\r\none\r\n')
+    assert len(edge.reported) == 1
+
+
 def stream_to_old_caller(edge, *, is_complete):
     """Return the head and body that an HTTP/1.0 caller receives."""
 
--- a/tests/platform/test_relaying.py
+++ b/tests/platform/test_relaying.py
@@ -151,6 +151,39 @@
     assert resumed.headers.get('Last-Event-Id') == '2'
 
 
+NO_REST = {
+    'too-long': b'HTTP/1.1 413 No\r\n%bContent-Length: 2\r\n\r\nno' % PROOF,
+    'nothing-left': b'HTTP/1.1 204 No Content\r\n%b\r\n' % PROOF,
+    'failed': FAILED,
+    'full-without-proof': b'HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno',
+}
+
+
+@pytest.mark.parametrize('answer', NO_REST.values(), ids=NO_REST)
+@pytest.mark.parametrize('target_count', [2, 3])
+def test_the_answer_of_a_second_target_is_written_into_a_begun_stream(
+    answer, target_count
+):
+    """Review case 3: consumers found its head where a chunk was due."""
+    rest = [STREAM_HEAD, event(2), b'0\r\n\r\n']
+    world = World(
+        FakeTarget([STREAM_HEAD, event(1), None]),
+        FakeTarget(answer),
+        *(FakeTarget(rest) for _ in range(target_count - 2)),
+        kind=RouteKind.STREAMING,
+        is_resumable=True,
+        max_attempts=3,
+    )
+    for number in range(target_count):
+        world.target_table.by_id[f't{number}'].failure_rate = number / 10
+    reply = world.ask()
+    is_resumed = target_count > 2
+    assert reply.is_complete is is_resumed
+    assert reply.body.count(b'id: ') == 1 + is_resumed
+    assert len(reply.body) == len(b'id: 1\ndata: x\n\n') * (1 + is_resumed)
+    assert 'task_error' not in dict(world.lines)
+
+
 def test_an_unresponsive_stream_continues_if_nothing_else_can_resume_it():
     """It was cut off after 1.2 s, while its only target was still working.
 
