Take a cut within 500 ms of the first event as a crash of the target

A part of a prompt that crashed servers behind their first event was never suspected; each request with it crashed two servers, without end.

Cause: the first event counted as proof that the part is sound and the target lives. A cut behind it was no crash, acquitted the part, and the request was sent again at once.

Ruled out: evidence that travels too slowly, restarts that go unseen: with a crash between head and first event the same play holds.

Change: an answer proves its parts sound when events still come 500 ms behind the first, or when it is whole. Until then a cut by the target is examined as one between head and first event is. What went on for longer is resumed at once, as before, and suspected of nothing. As more requests now begin beside a crash, it keeps the workspaces of all of them: the first one's alone was refused the part.

--- a/libs/relay/src/verbenamux_relay/crash_evidence.py
+++ b/libs/relay/src/verbenamux_relay/crash_evidence.py
@@ -32,12 +32,13 @@
     """A target that ended as it began to answer a request.
 
     `crash_id` names one lifetime of the target. `parts` are those that other
-    requests may share, in the order of the prompt. `known_at` is when this
-    gateway learned of it.
+    requests may share, in the order of the prompt. Several requests may have
+    begun as it ended: `workspaces` and `parts` are those of all. `known_at` is
+    when this gateway learned of it.
     """
 
     crash_id: str
-    workspace: str
+    workspaces: tuple[str, ...]
     parts: tuple[str, ...]
     known_at: timedelta
 
@@ -62,7 +63,11 @@
     @property
     def workspaces(self) -> frozenset[str]:
         """Return the workspaces whose requests crashed targets."""
-        return frozenset(crash.workspace for crash in self.crashes)
+        return frozenset(
+            workspace
+            for crash in self.crashes
+            for workspace in crash.workspaces
+        )
 
 
 def find_culprits(
--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -43,6 +43,9 @@
 # Parts of one prompt that are considered, and their length.
 MAX_PARTS = 16
 MAX_PART_LENGTH = 64
+# Of all requests whose answers had just begun when a target crashed.
+MAX_CRASH_PARTS = 64
+MAX_CRASH_WORKSPACES = 8
 # Between the parts of a verdict's key; no part contains it.
 PART_SEPARATOR = ','
 
@@ -107,7 +110,7 @@
         self._known_by_key: OrderedDict[str, _Known] = OrderedDict()
 
     def record_answer(self, terms: RequestTerms) -> None:
-        """Record that an answer to these terms began at a target."""
+        """Record that an answer to these terms began, and its target lives."""
         now = self._elapsed()
         for part in _shared_parts(terms):
             self._answered_at_by_part[part] = now
@@ -204,9 +207,10 @@
         """Return what the other gateways are told."""
         return CrashEvidence(
             crashes=tuple(
-                CrashNotice(crash.crash_id, crash.workspace, crash.parts)
+                CrashNotice(crash.crash_id, workspace, crash.parts)
                 for crash in self._crash_by_id.values()
                 if crash.crash_id in self._own_ids
+                for workspace in crash.workspaces
             ),
             answers=dict(+self._own_answers),
             verdicts={
@@ -220,7 +224,9 @@
             self._adopt(key, verdict)
         for notice in evidence.crashes:
             self._add_crash(
-                notice.crash_id, notice.workspace, _bounded(notice.parts)
+                notice.crash_id,
+                notice.workspace,
+                _bounded(notice.parts, MAX_CRASH_PARTS),
             )
         self._answers_by_instance[instance] = evidence.answers
         self._answers_by_instance.move_to_end(instance)
@@ -325,12 +331,13 @@
         if crash_id in self._forgiven_ids:
             return
         now = self._elapsed()
-        crash = self._crash_by_id.get(
-            crash_id, Crash(crash_id, workspace, (), now)
-        )
+        crash = self._crash_by_id.get(crash_id, Crash(crash_id, (), (), now))
         all_parts = tuple(dict.fromkeys((*crash.parts, *parts)))
+        all_workspaces = dict.fromkeys((*crash.workspaces, workspace))
         self._crash_by_id[crash_id] = replace(
-            crash, parts=all_parts[:MAX_PARTS]
+            crash,
+            workspaces=tuple(all_workspaces)[:MAX_CRASH_WORKSPACES],
+            parts=all_parts[:MAX_CRASH_PARTS],
         )
         if len(self._crash_by_id) > MAX_CRASHES:
             self._forget_crash(next(iter(self._crash_by_id)))
@@ -356,15 +363,15 @@
         """Extend convictions to the workspace of a further crash."""
         for key, known in self._convictions():
             workspaces = known.verdict.workspaces
-            if crash.workspace in workspaces or not known.parts <= set(
-                crash.parts
-            ):
+            if set(crash.workspaces) <= set(workspaces):
+                continue
+            if not known.parts <= set(crash.parts):
                 continue
             self._set_verdict(
                 key,
                 Verdict(
                     known.verdict.version,
-                    _sorted((*workspaces, crash.workspace)),
+                    _sorted({*workspaces, *crash.workspaces}),
                 ),
                 is_own=crash.crash_id in self._own_ids,
             )
@@ -441,9 +448,11 @@
     return _bounded(tuple(part.part_id for part in terms.shared_parts))
 
 
-def _bounded(parts: tuple[str, ...]) -> tuple[str, ...]:
+def _bounded(
+    parts: tuple[str, ...], max_parts: int = MAX_PARTS
+) -> tuple[str, ...]:
     return tuple(
-        part for part in parts[-MAX_PARTS:] if len(part) <= MAX_PART_LENGTH
+        part for part in parts[-max_parts:] if len(part) <= MAX_PART_LENGTH
     )
 
 
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -494,8 +494,7 @@
 
 def _record_success(sent: Send, context: RelayContext) -> None:
     sent.target.record_success(context.now())
-    if not sent.in_flight.is_started:
-        # A whole answer has no first event.
+    if not sent.in_flight.has_gone_on:
         context.quarantine.record_answer(sent.job.terms)
 
 
@@ -533,10 +532,17 @@
         model=job.terms.model_key,
         parts=[part.part_id for part in job.terms.parts],
     )
-    if sent.in_flight.has_head and not sent.in_flight.is_started:
+    if _is_cut_at_beginning(sent.in_flight, outcome):
         _record_cut(sent, context)
 
 
+def _is_cut_at_beginning(in_flight: InFlight, outcome: Outcome) -> bool:
+    """Return whether an answer ended as its target began to write it."""
+    if in_flight.is_started:
+        return outcome.is_cut and not in_flight.has_gone_on
+    return in_flight.has_head
+
+
 def _accepts_connections(sent: Send) -> bool:
     try:
         connection = sent.context.pool.take(
@@ -549,7 +555,7 @@
 
 
 def _record_cut(sent: Send, context: RelayContext) -> None:
-    """Record an answer that was cut between its head and its first event.
+    """Record an answer that was cut as it began.
 
     If its target ended with it, the request is sent again only if none of its
     parts can be the cause. One that accepts connections may have restarted.
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -41,6 +41,9 @@
 # head, and reading more costs as much as a new connection.
 REFUSAL_READ_TIMEOUT = timedelta(milliseconds=100)
 MAX_REFUSAL_BYTES = 65536
+# A target that crashes as it begins to answer has ended this long after the
+# first event: its connections close with its process, which takes milliseconds.
+BEGINNING_TIME = timedelta(milliseconds=500)
 # Events that arrived together are passed on in batches of up to this many, with
 # the other tasks in between: a target may send tiny ones without end.
 MAX_BATCH_EVENTS = 64
@@ -85,7 +88,8 @@
 
     `arrived` is false when no byte reached the target. `is_model_missing` is
     true when the target does not hold the requested model or adapter,
-    `is_replaced` when another target answered at its address.
+    `is_replaced` when another target answered at its address, `is_cut` when the
+    target ended a stream within it.
     """
 
     ending: Ending
@@ -95,6 +99,7 @@
     is_model_missing: bool = False
     is_unreachable: bool = False
     is_replaced: bool = False
+    is_cut: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +110,7 @@
     pool: ConnectionPool
     dialect: Dialect
     on_first_event: Callable[[Job, Target, InFlight], None]
+    on_gone_on: Callable[[Job], None]
     log: Callable[..., None]
 
 
@@ -327,7 +333,11 @@
         blank_lines = _end_stream(sent, head, splitter)
     except ExchangeFailure as failure:
         if sent.job.events:
-            return Outcome(Ending.BROKEN_OFF, failure.message)
+            return Outcome(
+                Ending.BROKEN_OFF,
+                failure.message,
+                is_cut=failure.fault is Fault.BROKEN,
+            )
         raise
     _start_reply(sent, head)
     if blank_lines:
@@ -387,9 +397,16 @@
     events: tuple[StreamEvent, ...],
 ) -> None:
     job = sent.job
-    if not sent.in_flight.is_started:
+    in_flight = sent.in_flight
+    now = sent.context.clock.elapsed()
+    if not in_flight.is_started:
         job.stage = Stage.STREAM
-        sent.context.on_first_event(job, sent.target, sent.in_flight)
+        in_flight.started_at = now
+        sent.context.on_first_event(job, sent.target, in_flight)
+    if not in_flight.has_gone_on:
+        in_flight.has_gone_on = now - in_flight.started_at >= BEGINNING_TIME
+        if in_flight.has_gone_on:
+            sent.context.on_gone_on(job)
     _start_reply(sent, head)
     job.reply.send_piece(b''.join(event.encoded for event in events))
     job.events += len(events)
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -83,7 +83,8 @@
 
     `last_received_at` is when data for it was last received from the target.
     `has_head` is whether the answer's head arrived, `is_started` whether its
-    first event did.
+    first event did, at `started_at`. `has_gone_on` is whether events still came
+    when a target that crashes under the request would have ended.
     """
 
     sent_at: timedelta
@@ -92,6 +93,8 @@
     total_tokens: int
     has_head: bool = False
     is_started: bool = False
+    started_at: timedelta = timedelta()
+    has_gone_on: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/relay/test_quarantine.py
+++ b/tests/relay/test_quarantine.py
@@ -164,6 +164,19 @@
     assert target.blocked_parts('w', terms('a', 'b')) is None
 
 
+def test_a_request_that_began_beside_the_deadly_one_shields_its_workspace():
+    """Each crash was put down to the workspace of the first request alone."""
+    finder, other = settled(ManualClock()), settled(ManualClock())
+    for number in '12':
+        finder.record_crash(number, 'sound', terms('a', f'b{number}'))
+        finder.record_crash(number, 'w', terms('a', 'dead'))
+        finder.record_answer(terms('a'))
+    other.handle_evidence('finder', finder.evidence())
+    for gateway in (finder, other):
+        assert gateway.blocked_parts('w', terms('a', 'dead')) == 'dead'
+        assert gateway.blocked_parts('sound', terms('a', 'b1')) is None
+
+
 def test_invented_parts_fill_no_table():
     target = quarantine(ManualClock())
     for number in range(MAX_CRASHES * 3):
