Look for room in the report that an order's expect is from

After orders that got no answer and were carried out late a keeper ordered its server to load more than it holds, and the server crashed with its streams.

Cause: room was looked for once, before the first try. Each further try, for up to 4 s, used a newer report's sequence, but not its models. A busy server's report doesn't name what it loads, so the first try behind that load was taken.

Ruled out: two late orders that are both carried out (the same expect); a restarted server (Expected-Instance).

Change: room is looked for before each try, in the report whose sequence the order expects. A busy server is sent no order. The same for adapters' places.

The fake engine named a model as held from the start of its load, and carried orders out late between requests only; now when it is loaded, and by the clock.

--- a/libs/keeper/src/verbenamux_keeper/adapters.py
+++ b/libs/keeper/src/verbenamux_keeper/adapters.py
@@ -134,15 +134,19 @@
                 ADAPTER_READ_INTERVAL,
             )
             engine = self._orders.engine or engine
-        used_places = len(engine.adapters) + len(engine.pending)
-        if (
-            used_places >= notice.adapter_places
-            and not self._unload_least_recently_used(engine)
+
+        def has_room(state: EngineState) -> bool:
+            used_places = len(state.adapters) + len(state.pending)
+            return used_places < notice.adapter_places
+
+        if not has_room(engine) and not self._unload_least_recently_used(
+            engine
         ):
             return 'all places for adapters are in use'
-        if self._orders.give(OrderKind.LOAD, request.model, request.adapter):
-            return ''
-        return 'the engine did not take the order'
+        is_given = self._orders.give(
+            OrderKind.LOAD, request.model, request.adapter, has_room
+        )
+        return '' if is_given else 'the engine did not take the order'
 
     def _unload_least_recently_used(self, engine: EngineState) -> bool:
         """Unload the least recently used adapter.
--- a/libs/keeper/src/verbenamux_keeper/engine.py
+++ b/libs/keeper/src/verbenamux_keeper/engine.py
@@ -16,6 +16,7 @@
     """How an engine answered an order.
 
     UNKNOWN: no answer came; the order may be carried out, even much later.
+    NO_ROOM: not sent, as the engine holds too much by now.
     """
 
     ACCEPTED = 'accepted'
@@ -25,6 +26,7 @@
     INVALID = 'invalid'
     OTHER_TARGET = 'other_target'
     UNKNOWN = 'unknown'
+    NO_ROOM = 'no_room'
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/keeper/src/verbenamux_keeper/keeper.py
+++ b/libs/keeper/src/verbenamux_keeper/keeper.py
@@ -275,7 +275,13 @@
             return 'the engine has no room'
         if is_cold(model, engine):
             self._store_limiter.record_load_start()
-        if not self.orders.give(OrderKind.LOAD, model, None):
+        is_given = self.orders.give(
+            OrderKind.LOAD,
+            model,
+            None,
+            lambda state: fits(model, state, notice),
+        )
+        if not is_given:
             return 'the engine did not take the order'
         cause = self.orders.await_state(
             lambda state: model in state.models and not state.is_busy,
--- a/libs/keeper/src/verbenamux_keeper/orders.py
+++ b/libs/keeper/src/verbenamux_keeper/orders.py
@@ -20,6 +20,13 @@
 ORDER_RETRY_DELAY = timedelta(milliseconds=200)
 
 SUCCESSFUL_ANSWERS = frozenset((OrderAnswer.ACCEPTED, OrderAnswer.HOLDS))
+# Another try would have the same answer.
+FINAL_ANSWERS = frozenset((OrderAnswer.INVALID, OrderAnswer.NO_ROOM))
+
+
+def _has_room(_engine: EngineState) -> bool:
+    """Return that an order needs no room."""
+    return True
 
 
 class EngineOrders:
@@ -95,15 +102,20 @@
         kind: OrderKind,
         model: str,
         adapter: str | None,
+        has_room: Callable[[EngineState], bool] = _has_room,
     ) -> bool:
-        """Retry an order until the engine accepts it; return whether it did."""
+        """Retry an order until the engine accepts it; return whether it did.
+
+        `has_room` is asked of the state that the order is for, before each
+        try: earlier orders without an answer may be carried out in between.
+        """
         give_up_at = self._clock.elapsed() + ORDER_TIMEOUT
         with self.lock:
             while self._clock.elapsed() < give_up_at and not self.is_stopping:
-                answer = self._order_once(kind, model, adapter)
+                answer = self._order_once(kind, model, adapter, has_room)
                 if answer in SUCCESSFUL_ANSWERS:
                     return True
-                if answer is OrderAnswer.INVALID:
+                if answer in FINAL_ANSWERS:
                     return False
                 if answer is OrderAnswer.CONFLICT and adapter is not None:
                     # The engine is loading a model: another engine is faster.
@@ -116,8 +128,13 @@
         kind: OrderKind,
         model: str,
         adapter: str | None,
+        has_room: Callable[[EngineState], bool],
     ) -> OrderAnswer:
-        """Send an order, unless the engine's state shows it as done."""
+        """Send an order, unless the engine's state shows it as done.
+
+        A busy engine's order is not sent: it would be refused, or be carried
+        out late, on top of a model that the report does not name yet.
+        """
         engine = self.refresh()
         token = self._fencing_token()
         target_id = self.target_id
@@ -125,6 +142,18 @@
             return OrderAnswer.UNKNOWN
         if is_done(engine, kind, model, adapter):
             return OrderAnswer.HOLDS
+        if engine.is_busy:
+            return OrderAnswer.CONFLICT
+        if not has_room(engine):
+            self._log(
+                'order_withheld',
+                order=kind.value,
+                model=model,
+                adapter=adapter,
+                after_orders=engine.orders_taken,
+                holds=sorted(engine.models | engine.adapters),
+            )
+            return OrderAnswer.NO_ROOM
         order = Order(kind, model, adapter, engine.orders_taken)
         answer = self._port.order(target_id, token, order)
         self._count('orders_total', order=kind.value, answer=answer.value)
--- a/tests/keeper/fake_engine.py
+++ b/tests/keeper/fake_engine.py
@@ -23,6 +23,7 @@
 )
 
 PLACE = EngineLocation('service', '127.0.0.1:1', 'here')
+ORDER_ANSWER_TIMEOUT = timedelta(milliseconds=400)
 
 
 class FakeEngine:
@@ -33,8 +34,11 @@
         self.random = random or Random(0)
         self.answer_loss_rate = 0.0
         self.models = {}
+        self.loading = None
         self.pending = {}
         self.ready_at = timedelta()
+        self.unanswered_loads = 0
+        self.late_seconds = 2
         self.accepted_orders = 0
         self.start_count = 1
         self.highest_token = 0
@@ -45,6 +49,7 @@
         self.on_disk = set()
         self.is_unresponsive = False
         self.adapter_load_seconds = 0.009
+        self.load_time = timedelta(seconds=1)
 
     def port(self):
         return EnginePort(
@@ -59,7 +64,7 @@
         return self.last_token
 
     def read(self):
-        self.finish_adapter_loads()
+        self.proceed()
         if self.is_unresponsive:
             return None
         return EngineState(
@@ -75,8 +80,13 @@
             started_ms=self.start_count,
         )
 
-    def finish_adapter_loads(self):
+    def proceed(self):
+        """Finish loads, and carry out what is due of the delayed orders."""
         now = self.clock.elapsed()
+        if self.loading is not None and now >= self.ready_at:
+            self.models[self.loading] = set()
+            self.loading = None
+        self.act_late(now)
         for name, ready_at in list(self.pending.items()):
             if ready_at <= now:
                 del self.pending[name]
@@ -85,43 +95,59 @@
                     self.models[model].add(adapter)
 
     def order(self, target_id, token, order):
-        self.finish_adapter_loads()
+        self.proceed()
         self.order_count += 1
         if target_id != f'engine-{self.start_count}':
             return OrderAnswer.OTHER_TARGET
         if token < self.highest_token:
             return OrderAnswer.FENCED
         self.highest_token = token
+        if self.unanswered_loads and order.kind is OrderKind.LOAD:
+            self.unanswered_loads -= 1
+            self.delay(order, self.late_seconds)
+            self.clock.advance(ORDER_ANSWER_TIMEOUT)
+            return OrderAnswer.UNKNOWN
         if (
             self.answer_loss_rate
             and self.random.random() < self.answer_loss_rate
         ):
             if self.random.random() < 0.5:
-                self.delayed_orders.append(order)
-            elif order.after_orders == self.accepted_orders:
+                self.delay(order, self.random.random() * 12)
+            elif self.accepts(order):
                 self.execute(order)
             return OrderAnswer.UNKNOWN
-        if order.after_orders != self.accepted_orders:
-            return OrderAnswer.CONFLICT
-        if self.clock.elapsed() < self.ready_at:
+        if not self.accepts(order):
             return OrderAnswer.CONFLICT
         self.execute(order)
         return OrderAnswer.ACCEPTED
 
-    def act_late(self):
-        for order in self.delayed_orders:
-            if order.after_orders == self.accepted_orders:
+    def accepts(self, order):
+        is_busy = self.clock.elapsed() < self.ready_at
+        return not is_busy and order.after_orders == self.accepted_orders
+
+    def delay(self, order, seconds):
+        due_at = self.clock.elapsed() + timedelta(seconds=seconds)
+        self.delayed_orders.append((due_at, order))
+
+    def act_late(self, until=timedelta.max):
+        """Carry out, or refuse, the delayed orders that are due by then."""
+        due = [order for at, order in self.delayed_orders if at <= until]
+        self.delayed_orders = [
+            (at, order) for at, order in self.delayed_orders if at > until
+        ]
+        for order in due:
+            if self.accepts(order):
                 self.execute(order)
-        self.delayed_orders = []
 
     def execute(self, order):
         self.accepted_orders += 1
         if order.adapter is not None:
             self.execute_adapter_order(order)
         elif order.kind is OrderKind.LOAD:
-            self.models[order.model] = set()
-            self.ready_at = self.clock.elapsed() + timedelta(seconds=1)
-            assert 70 * len(self.models) <= 200, 'the engine crashed'
+            self.loading = order.model
+            self.ready_at = self.clock.elapsed() + self.load_time
+            held = {*self.models, order.model}
+            assert 70 * len(held) <= 200, 'the engine crashed'
         else:
             self.models.pop(order.model, None)
 
@@ -140,7 +166,9 @@
         self.accepted_orders = 0
         self.highest_token = 0
         self.models = {}
+        self.loading = None
         self.pending = {}
+        self.ready_at = timedelta()
 
 
 def make_keeper(engine, clock, sent, *, is_first_start=True):
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -217,6 +217,35 @@
     assert engine.order_count > 20
 
 
+def test_orders_carried_out_late_overfill_an_engine(keeper, sent, engine):
+    """Review case 4: behind a late load another model was ordered as well."""
+    request_model(keeper, sent, 'm1')
+    engine.load_time = timedelta(seconds=4.2)
+    engine.unanswered_loads = 4
+    engine.clock.advance(timedelta(seconds=2))
+    for number in range(2, 6):
+        request_model(keeper, sent, f'm{number}')
+        engine.proceed()
+    assert engine.unanswered_loads == 0
+    assert len(engine.models) == 2
+
+
+def test_an_adapter_loaded_late_takes_the_last_place(keeper, sent, engine):
+    """The same of adapters: the free place was looked for once."""
+    request_model(keeper, sent, 'm1')
+    for name in ('a1', 'a2'):
+        request_adapter(keeper, sent, 'm1', name)
+    # The tries for a3 end at 4.2 s; it is carried out among those for a4.
+    engine.unanswered_loads = 9
+    engine.late_seconds = 5
+    request_adapter(keeper, sent, 'm1', 'a3')
+    assert 'a3' not in engine.models['m1']
+    request_adapter(keeper, sent, 'm1', 'a4')
+    engine.clock.advance(timedelta(seconds=1))
+    engine.proceed()
+    assert engine.models['m1'] == {'a1', 'a2', 'a3'}
+
+
 def test_a_model_of_unknown_size_does_not_fit():
     assert not fits('stranger', EngineState(), NOTICE)
     held = EngineState(adapters_by_model={'stranger': frozenset()})
