Bound what all answers without end hold together

From another operator: a machine kept bytes that were no answer until it ran out of memory, and all its requests ended.

Cause: each answer's limit was 1 MiB however much memory was in use, and events in a stream were counted nowhere. 300 requests at faulty targets could fill the 300 MB of a gateway.

Ruled out: one endless head, body or event (limits of their own, tested); the store's pages, which keep their 1 MiB each.

Change: an answer of a target may hold 64 KB in any case; beyond that bodies and events share the 32 MiB that large bodies shared before.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -88,12 +88,18 @@
         self.held_bytes = 0
         self._max_bytes = max_bytes
 
-    def reserve(self, so_far: int, more: int) -> None:
+    def reserve(
+        self, so_far: int, more: int, reserved_bytes: int | None = None
+    ) -> None:
         """Reserve memory for more bytes of a body that holds `so_far`.
 
-        Raises ExchangeFailure when there is none, and reserves none then.
+        It may hold `reserved_bytes` however much memory is in use, by default
+        RESERVED_BODY_BYTES. Raises ExchangeFailure when there is no memory,
+        and reserves none then.
         """
-        is_large = so_far + more > RESERVED_BODY_BYTES
+        if reserved_bytes is None:
+            reserved_bytes = RESERVED_BODY_BYTES
+        is_large = so_far + more > reserved_bytes
         if is_large and self.held_bytes + more > self._max_bytes:
             raise ExchangeFailure(
                 Fault.TOO_LARGE,
@@ -276,15 +282,22 @@
             self._receive(deadline)
         return self._parser.take_body()
 
-    def read_body(self, remaining: Callable[[], timedelta]) -> bytes:
+    def read_body(
+        self,
+        remaining: Callable[[], timedelta],
+        reserved_bytes: int | None = None,
+    ) -> bytes:
         """Return the whole body; raises ExchangeFailure.
 
         `remaining` returns the time for each piece; it has to reach zero.
+        `reserved_bytes` is as for BodyMemory.reserve.
         """
         body = BytesIO()
         try:
             for piece in self._pieces(remaining):
-                self._context.body_memory.reserve(body.tell(), len(piece))
+                self._context.body_memory.reserve(
+                    body.tell(), len(piece), reserved_bytes
+                )
                 body.write(piece)
         finally:
             self._context.body_memory.release(body.tell())
@@ -426,7 +439,8 @@
     ) -> None:
         """Start without connections; `elapsed` is a monotonic clock."""
         self.elapsed = elapsed
-        self._read_context = ReadContext(elapsed, body_memory or BodyMemory())
+        self.body_memory = body_memory or BodyMemory()
+        self._read_context = ReadContext(elapsed, self.body_memory)
         self._idle_by_address: dict[Address, deque[Connection]] = {}
 
     def take(
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -19,7 +19,12 @@
 from verbenamux_http.parsing import ResponseHead
 from verbenamux_relay.catalog import RouteKind
 from verbenamux_relay.dialect import Addressing, AnswerTerms, Dialect
-from verbenamux_relay.events import LINE_ENDS, EventSplitter, StreamEvent
+from verbenamux_relay.events import (
+    LINE_ENDS,
+    RESERVED_ANSWER_BYTES,
+    EventSplitter,
+    StreamEvent,
+)
 from verbenamux_relay.job import Job, Stage
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import InFlight, Target
@@ -243,7 +248,8 @@
             Ending.BROKEN_OFF,
             f'the target answered {head.status} to the rest of a stream',
         )
-    answer = WholeAnswer(head, exchange.read_body(sent.time_left))
+    body = exchange.read_body(sent.time_left, RESERVED_ANSWER_BYTES)
+    answer = WholeAnswer(head, body)
     return _answer_outcome(answer, terms)
 
 
@@ -327,7 +333,7 @@
     head: ResponseHead,
 ) -> Outcome:
     """Pass events on as they arrive; the head goes with the first one."""
-    splitter = EventSplitter()
+    splitter = EventSplitter(sent.context.pool.body_memory)
     try:
         _pass_events(sent, exchange, head, splitter)
         blank_lines = _end_stream(sent, head, splitter)
@@ -339,6 +345,8 @@
                 is_cut=failure.fault is Fault.BROKEN,
             )
         raise
+    finally:
+        splitter.close()
     _start_reply(sent, head)
     if blank_lines:
         sent.job.reply.send_piece(blank_lines)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Targets that send endless bytes instead of an answer."""
 
 import contextlib
+import tracemalloc
 from dataclasses import replace
 from datetime import timedelta
 
@@ -9,6 +10,7 @@
 from gevent.event import Event
 
 from relay.world import (
+    BODY_MEMORY_BYTES,
     DONE,
     FULL,
     SECOND,
@@ -18,7 +20,9 @@
     World,
     event,
 )
+from verbenamux_http.client import RECEIVE_BYTES
 from verbenamux_relay.catalog import RouteKind
+from verbenamux_relay.events import RESERVED_ANSWER_BYTES
 
 TRICKLE_INTERVAL = 0.05
 # `pass_ms` of the sites: how late an event may be passed on.
@@ -208,3 +212,53 @@
     assert flooding.was_closed.wait(1)
     assert took < SECOND * 1.1
     assert max(held_times) < PASS_TIME
+
+
+HELD_BYTES = 900_000
+HELD = b'x' * HELD_BYTES
+MANY = 60
+
+
+class GatheringTarget(EndlessTarget):
+    """A target that begins its endless answers once all requests are in."""
+
+    def answer(self, opened):
+        while len(self.requests) < MANY:
+            gevent.sleep(0.01)
+        return super().answer(opened)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'start', 'piece'),
+    [
+        (RouteKind.NON_IDEMPOTENT, LONG_HEAD + HELD, b'x'),
+        (
+            RouteKind.STREAMING,
+            STREAM_HEAD + b'%x\r\n%b\r\n' % (HELD_BYTES, HELD),
+            b'1\r\nx\r\n',
+        ),
+    ],
+    ids=['body', 'event'],
+)
+def test_many_answers_without_end_fill_the_memory(kind, start, piece):
+    """Other operators: a gateway kept all of them, and all requests ended.
+
+    Each stayed within the limit of one answer.
+    """
+    endless = GatheringTarget(start, piece, TRICKLE_INTERVAL)
+    world = World(endless, kind=kind, max_attempts=1)
+    target = world.target_table.by_id['t0']
+    target.entry = replace(target.entry, slots=MANY)
+    context = world.context()
+    memory = context.send_context.pool.body_memory
+    tracemalloc.start()
+    with gevent.Timeout(20):
+        asking = [gevent.spawn(world.ask, context=context) for _ in range(MANY)]
+        gevent.joinall(asking)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert {ask.value.status for ask in asking} <= {502, 504}
+    assert memory.held_bytes == 0
+    held_bytes = BODY_MEMORY_BYTES + MANY * RESERVED_ANSWER_BYTES
+    # A body grows by copies, behind the bytes that were just received.
+    assert peak_bytes < 2 * held_bytes + MANY * RECEIVE_BYTES
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -41,6 +41,7 @@
 from verbenamux_runtime.metrics import Metrics
 
 SECOND = timedelta(seconds=1)
+BODY_MEMORY_BYTES = 4_000_000
 SIZES = SizeLimits(65536, 65536)
 PROOF = b'Server-Signature: proof\r\n'
 DONE = b'HTTP/1.1 200 OK\r\n%bContent-Length: 4\r\n\r\ndone' % PROOF
@@ -201,7 +202,7 @@
     def context(self):
         dialect = platform_dialect()
         clock = self.clock
-        pool = ConnectionPool(clock.elapsed, BodyMemory(4_000_000))
+        pool = ConnectionPool(clock.elapsed, BodyMemory(BODY_MEMORY_BYTES))
 
         quarantine = Quarantine(
             clock.elapsed, timedelta, lambda: True, self.log
