Reuse no connection on which an answer named no request

Callers got 503, "not run", for bookings that a target ran: it wrote an earlier refusal, which named no request, once more.

Cause: an answer without an id is taken for the request that waits on its connection, and so is a late copy of it.

Ruled out: refusing every answer without an id on a used connection, which would turn true refusals of full targets into unknown outcomes.

Change: such an answer ends its connection, so a copy comes to nobody. It costs a new connection for each, and none where targets name all.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -250,6 +250,7 @@
         self._context = context
         self._parser = ResponseParser()
         self._bytes_since_yield = 0
+        self._may_be_reused = True
         self._sent = Event()
         self._sender: Greenlet | None = None
         if len(outgoing.body) <= MAX_INLINE_BODY_BYTES:
@@ -322,6 +323,10 @@
                     f'more than {max_bytes} bytes',
                 )
 
+    def forbid_reuse(self) -> None:
+        """Let the connection carry no other request."""
+        self._may_be_reused = False
+
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request.
 
@@ -331,6 +336,8 @@
         head = self._parser.head
         if head is None or not self._parser.is_complete:
             return False
+        if not self._may_be_reused:
+            return False
         is_clean = self._sent.is_set() and not self._parser.has_surplus
         return is_clean and head.keeps_connection
 
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -231,6 +231,9 @@
     sent.record_received()
     sent.in_flight.has_head = True
     terms = sent.context.dialect.read_answer(head)
+    if terms.request_id is None:
+        # A late copy of it could not be told from the next request's answer.
+        exchange.forbid_reuse()
     _record_load(sent, terms)
     _record_own_word(sent, terms)
     if terms.request_id not in {None, sent.job.terms.request_id}:
