Reject an address with text behind its IP number

From the review: one entry of another writer, with a space in its address, stopped the reading of all entries behind it until it lapsed.

Cause: inet_aton takes any text behind a space, and short forms like 127.1; connecting to the keeper at that host then raised.

Ruled out: ports, which were checked.

Before: two of the new test's three cases failed. After: all pass.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from io import BytesIO
+from ipaddress import IPv4Address
 
 from gevent import Greenlet, Timeout, socket, spawn
 from gevent.event import Event
@@ -71,7 +72,8 @@
     host, separator, port = text.rpartition(':')
     if not separator or not host:
         raise ValueError(f'not an address: {text!r}')
-    socket.inet_aton(host)
+    # `inet_aton` takes any text behind a space, and short forms of addresses.
+    IPv4Address(host)
     if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
         raise ValueError(f'not a port: {port[:MAX_PORT_DIGITS]!r}')
     return host, int(port)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -300,6 +300,13 @@
     assert isinstance(decode_target('i-1', encode(ENTRY | odd)), Failure)
 
 
+@pytest.mark.parametrize('host', ['127.0.0.1 x', '127.1', ' 127.0.0.1'])
+def test_a_target_with_text_behind_its_address_stops_the_reading(host):
+    """The review: connecting raised, and records behind it were not read."""
+    odd = ENTRY | {'address': f'{host}:80'}
+    assert isinstance(decode_target('i-1', encode(odd)), Failure)
+
+
 def test_a_deeply_nested_message_of_a_peer_is_rejected():
     with pytest.raises(MessageDecodeError):
         decode_message(b'\x91' * 100_000)
