Count the answers before a crash, and all behind it, against a conviction

Callers of a whole route were refused with 503 for a minute while ordinary crashes of targets went on.

Cause: the answers of the five seconds before a part's first crash counted as one, and those behind it up to 20. Two crashes at once, or four whatever was answered, convicted the part that all prompts share.

Ruled out: evidence that arrives late (one gateway convicts by itself, too).

Change: a gateway keeps a count of each part's answers that halves in five seconds; a crash begins with it, and up to 2,000 count behind it.

--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -18,6 +18,8 @@
 
 # A part whose answers began within this time may be sent again after a crash.
 RECENT_ANSWER_WINDOW = timedelta(seconds=5)
+# The count of a part's recent answers halves in this time.
+ANSWER_HALF_LIFE = timedelta(seconds=5)
 # A target that ended within this time after it cut an answer has crashed. Its
 # next instance is known by then: one that restarts soon is introduced by its
 # keeper, or refuses a request for the one before.
@@ -38,8 +40,9 @@
 MAX_RECENT_PARTS = 4000
 MAX_INSTANCES = 200
 MAX_FORGIVEN_IDS = 1000
-# Answers that are counted for a suspected part: more change no decision.
-MAX_ANSWERS = 20
+# Answers that are counted for a suspected part: they outweigh all the crashes
+# that a gateway keeps.
+MAX_ANSWERS = 2000
 # Parts of one prompt that are considered, and their length.
 MAX_PARTS = 16
 MAX_PART_LENGTH = 64
@@ -66,6 +69,18 @@
     probe_id: str | None = None
 
 
+@dataclass(slots=True)
+class _Answered:
+    """Answers with a part: their count, which decays, and the last one."""
+
+    count: float
+    at: timedelta
+
+    def recent(self, now: timedelta) -> float:
+        """Return the count as it has decayed until now."""
+        return self.count * 0.5 ** ((now - self.at) / ANSWER_HALF_LIFE)
+
+
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
     """A cut answer of a target that may have crashed."""
@@ -98,7 +113,7 @@
         self._started_at = elapsed()
         self._is_first = is_first
         self._log = log
-        self._answered_at_by_part: OrderedDict[str, timedelta] = OrderedDict()
+        self._answered_by_part: OrderedDict[str, _Answered] = OrderedDict()
         self._crash_by_id: OrderedDict[str, Crash] = OrderedDict()
         self._own_ids: set[str] = set()
         self._suspicion_by_target: OrderedDict[str, _Suspicion] = OrderedDict()
@@ -113,12 +128,14 @@
         """Record that an answer to these terms began, and its target lives."""
         now = self._elapsed()
         for part in _shared_parts(terms):
-            self._answered_at_by_part[part] = now
-            self._answered_at_by_part.move_to_end(part)
+            self._answered_by_part[part] = _Answered(
+                self._recent_answers(part) + 1, now
+            )
+            self._answered_by_part.move_to_end(part)
             if part in self._own_answers:
                 self._count_answer(part, terms)
-        while len(self._answered_at_by_part) > MAX_RECENT_PARTS:
-            self._answered_at_by_part.popitem(last=False)
+        while len(self._answered_by_part) > MAX_RECENT_PARTS:
+            self._answered_by_part.popitem(last=False)
         for key, known in tuple(self._known_by_key.items()):
             if known.probe_id == terms.request_id:
                 self.release(key, is_own=True)
@@ -168,11 +185,7 @@
 
     def may_send_again(self, terms: RequestTerms) -> bool:
         """Return whether all parts of a prompt were answered lately."""
-        oldest = self._elapsed() - RECENT_ANSWER_WINDOW
-        return all(
-            self._answered_at_by_part.get(part, timedelta.min) > oldest
-            for part in _shared_parts(terms)
-        )
+        return all(map(self._is_answered_lately, _shared_parts(terms)))
 
     def blocked_parts(self, workspace: str, terms: RequestTerms) -> str | None:
         """Return the parts for which a request is refused, None if it is not.
@@ -341,14 +354,25 @@
         )
         if len(self._crash_by_id) > MAX_CRASHES:
             self._forget_crash(next(iter(self._crash_by_id)))
-        oldest = now - RECENT_ANSWER_WINDOW
         for part in parts:
             if part in self._own_answers:
                 continue
-            answered_at = self._answered_at_by_part.get(part, timedelta.min)
-            self._own_answers[part] = int(answered_at > oldest)
+            self._own_answers[part] = min(
+                round(self._recent_answers(part)), MAX_ANSWERS
+            )
             # An objection must reach the others before they decide.
-            self.has_news |= answered_at > oldest
+            self.has_news |= bool(self._own_answers[part])
+
+    def _recent_answers(self, part: str) -> float:
+        """Return how many answers with a part began, the recent ones most."""
+        answered = self._answered_by_part.get(part)
+        return answered.recent(self._elapsed()) if answered else 0
+
+    def _is_answered_lately(self, part: str) -> bool:
+        answered = self._answered_by_part.get(part)
+        if answered is None:
+            return False
+        return self._elapsed() - answered.at < RECENT_ANSWER_WINDOW
 
     def _forget_crash(self, crash_id: str) -> None:
         self._crash_by_id.pop(crash_id)
--- a/tests/relay/test_quarantine.py
+++ b/tests/relay/test_quarantine.py
@@ -177,6 +177,30 @@
         assert gateway.blocked_parts('sound', terms('a', 'b1')) is None
 
 
+def test_ordinary_crashes_convict_a_part_that_is_answered_all_the_time():
+    """The review's LOST: all requests of a route were refused for a minute.
+
+    Two of six targets crashed at once, four times, while the part that all
+    prompts share was answered 50 times a second.
+    """
+    clock = ManualClock()
+    first, second = gateways = (settled(clock), settled(clock))
+    for number in range(8):
+        for gateway in gateways:
+            for _ in range(150):
+                clock.advance(timedelta(milliseconds=10))
+                gateway.record_answer(terms('popular'))
+        gateways[number % 2].record_crash(
+            f'{number}', 'w', terms('popular', f'session{number}')
+        )
+        gateways[number % 2].record_crash(f'{number}-2', 'w', terms('popular'))
+        for _ in range(2):
+            second.handle_evidence('first', first.evidence())
+            first.handle_evidence('second', second.evidence())
+        for gateway in gateways:
+            assert gateway.blocked_parts('w', terms('popular')) is None
+
+
 def test_invented_parts_fill_no_table():
     target = quarantine(ManualClock())
     for number in range(MAX_CRASHES * 3):
