--- a/libs/keeper/src/verbenamux_keeper/orders.py
+++ b/libs/keeper/src/verbenamux_keeper/orders.py
@@ -24,8 +24,8 @@
 FINAL_ANSWERS = frozenset((OrderAnswer.INVALID, OrderAnswer.NO_ROOM))
 
 
-def _has_room(_engine: EngineState) -> bool:
-    """Return that an order needs no room."""
+def _needs_no_room(_engine: EngineState) -> bool:
+    """Return True: an unloading order makes room."""
     return True
 
 
@@ -102,7 +102,7 @@
         kind: OrderKind,
         model: str,
         adapter: str | None,
-        has_room: Callable[[EngineState], bool] = _has_room,
+        has_room: Callable[[EngineState], bool] = _needs_no_room,
     ) -> bool:
         """Retry an order until the engine accepts it; return whether it did.
 
