--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -61,9 +61,11 @@
             raise self.handler_error
         reply.send(200, Headers(), self.body or request.target.encode())
 
-    def connect(self):
+    def connect(self, begun=b''):
+        """Return a caller's connection that has sent some bytes."""
         connected = socket.create_connection(self.address)
         connected.settimeout(2)
+        connected.sendall(begun)
         return connected
 
 
@@ -100,8 +102,7 @@
 
 def test_a_disconnected_caller_is_detected_immediately(edge):
     edge.delay = 1
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.05)
     caller.close()
     gevent.sleep(0.05)
@@ -112,8 +113,7 @@
 def test_a_caller_that_disconnects_after_unread_bytes_is_detected(edge, unread):
     """The watch for a close ended with the first byte after the request."""
     edge.delay = 2
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.05)
     caller.sendall(unread)
     gevent.sleep(0.05)
@@ -136,8 +136,9 @@
 
 
 def test_a_refused_body_is_not_read_and_the_answer_arrives(edge):
-    caller = edge.connect()
-    caller.sendall(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n')
+    caller = edge.connect(
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n'
+    )
     caller.sendall(b'\r\n' + b'x' * 9000)
     assert read_all(caller).startswith(b'HTTP/1.1 413')
     assert not edge.handled
@@ -145,8 +146,7 @@
 
 def test_a_stop_waits_for_a_request_that_is_still_arriving(edge):
     """The process ended while a request body was still arriving."""
-    caller = edge.connect()
-    caller.sendall(GET[:-2])
+    caller = edge.connect(GET[:-2])
     gevent.sleep(0.02)
     edge.is_stopping = True
     edge.listener.close_idle()
@@ -158,8 +158,7 @@
 
 def begin_with_another(edge, partial_request):
     """Begin a request in the same bytes as a whole one; return its caller."""
-    caller = edge.connect()
-    caller.sendall(GET + partial_request)
+    caller = edge.connect(GET + partial_request)
     assert caller.recv(4096).startswith(b'HTTP/1.1 200')
     gevent.sleep(0.02)
     return caller
@@ -187,8 +186,7 @@
 def test_a_body_after_another_request_gets_its_continue_in_order(edge):
     """The 100 Continue was sent before the answer to the previous request."""
     head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n'
-    caller = edge.connect()
-    caller.sendall(GET + head + b'Expect: 100-continue\r\n\r\n')
+    caller = edge.connect(GET + head + b'Expect: 100-continue\r\n\r\n')
     gevent.sleep(0.05)
     received = caller.recv(4096)
     caller.sendall(b'x')
@@ -200,8 +198,7 @@
 def test_a_connection_is_closed_after_an_answer_begun_before_the_stop(edge):
     """It stayed open and took requests until the process was killed."""
     edge.delay = 0.1
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.02)
     edge.is_stopping = True
     assert read_all(caller).startswith(b'HTTP/1.1 200')
@@ -246,8 +243,7 @@
 def test_the_last_answer_of_a_stop_is_not_followed_by_a_reset(edge):
     """A reset may overtake the answer once the caller has sent more."""
     edge.delay = 0.1
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.02)
     edge.is_stopping = True
     caller.sendall(GET)
@@ -257,8 +253,7 @@
 
 
 def test_an_interrupt_refuses_a_request_that_is_still_arriving(edge):
-    caller = edge.connect()
-    caller.sendall(GET[:-2])
+    caller = edge.connect(GET[:-2])
     gevent.sleep(0.02)
     edge.is_stopping = True
     edge.listener.interrupt()
@@ -275,8 +270,7 @@
         gevent.sleep(9)
 
     edge.handle = begin
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.02)
     edge.listener.interrupt()
     assert read_all(caller).endswith(b'5\r\nevent\r\n')
@@ -285,8 +279,7 @@
 def test_a_stop_answers_every_request_that_was_read(edge):
     """The second of two was read with the first, and nothing answered it."""
     edge.delay = 0.1
-    caller = edge.connect()
-    caller.sendall(GET + GET)
+    caller = edge.connect(GET + GET)
     gevent.sleep(0.02)
     edge.is_stopping = True
     received = read_all(caller)
@@ -308,8 +301,8 @@
 def test_a_stop_waits_for_a_request_begun_as_the_last_other_ends(edge):
     """A wakeup is no proof: the process ended with one request open."""
     edge.delay = 0.05
-    first = edge.connect()
-    first.sendall(GET)
+    caller = edge.connect()
+    caller.sendall(GET)
     second = edge.connect()
     gevent.sleep(0.02)
     stop = gevent.spawn(edge.listener.wait_answered, timedelta(seconds=5))
@@ -329,8 +322,7 @@
     stall_timeout = timedelta(seconds=2)
     monkeypatch.setattr(server, 'WRITE_STALL_TIMEOUT', stall_timeout)
     edge.body = b'x' * 40_000_000
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     taken = 0
     while piece := caller.recv(65536):
         taken += len(piece)
@@ -340,8 +332,7 @@
 
 def test_a_request_is_answered_whatever_follows_it(edge):
     """Bytes after a whole request had it refused instead of handled."""
-    caller = edge.connect()
-    caller.sendall(GET + b'\x00 no request\r\n\r\n')
+    caller = edge.connect(GET + b'\x00 no request\r\n\r\n')
     assert read_all(caller).startswith(b'HTTP/1.1 200')
     assert edge.handled
 
@@ -374,8 +365,7 @@
         reply.send(413, Headers(), b'too long')
 
     edge.handle = handle
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     assert read_all(caller).endswith(b'\r\n\r\n3\r\none\r\n')
     assert len(edge.reported) == 1
 
@@ -392,8 +382,7 @@
             reply.finish()
 
     edge.handle = stream
-    caller = edge.connect()
-    caller.sendall(OLD_GET)
+    caller = edge.connect(OLD_GET)
     head, _, body = caller.recv(4096).partition(b'\r\n\r\n')
     return head, body + read_all(caller)
 
@@ -416,8 +405,7 @@
     """The connection was closed without an answer, and nothing was logged."""
     edge.handler_error = KeyError('a defect')
     reported = edge.reported
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     assert read_all(caller).startswith(b'HTTP/1.1 502')
     assert reported == [edge.handler_error]
 
@@ -449,8 +437,7 @@
 def test_an_interrupt_spares_a_whole_answer_being_sent(edge):
     """A caller that read steadily was disconnected in mid-answer."""
     edge.body = b'x' * 8_000_000
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.05)
     edge.is_stopping = True
     stop = gevent.spawn(edge.listener.finish, SECOND * 0.01, SECOND * 5)
@@ -460,8 +447,7 @@
 
 def test_an_interrupt_spares_a_lingering_connection(edge):
     edge.delay = 0.05
-    caller = edge.connect()
-    caller.sendall(GET)
+    caller = edge.connect(GET)
     gevent.sleep(0.02)
     edge.is_stopping = True
     gevent.sleep(0.1)
@@ -481,8 +467,7 @@
             reply.send(502, Headers(), b'')
 
     edge.handle = wait
-    caller = edge.connect()
-    caller.sendall(GET + GET)
+    caller = edge.connect(GET + GET)
     gevent.sleep(0.05)
     edge.is_stopping = True
 
--- a/tests/keeper/test_keeper.py
+++ b/tests/keeper/test_keeper.py
@@ -193,15 +193,7 @@
     engine = FakeEngine(clock, random)
     engine.answer_loss_rate = 0.5
     sent = []
-    keeper = Keeper(
-        PLACE,
-        engine.port(),
-        StoreLoadLimiter(clock.elapsed, is_first_start=True),
-        clock,
-        lambda sender, message: sent.append((sender, message)),
-        lambda event, **fields: None,
-    )
-    keeper.receive(b'gateway', NOTICE)
+    keeper = make_keeper(engine, clock, sent)
     for _ in range(30):
         clock.advance(timedelta(seconds=random.random() * 3))
         if random.random() < 0.1:
--- a/tests/keeper/test_pacing.py
+++ b/tests/keeper/test_pacing.py
@@ -8,6 +8,60 @@
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_keeper.pacing import StoreLoadLimiter
 
+WINDOW = timedelta(seconds=5)
+STEP = timedelta(milliseconds=100)
+
+
+class Engines:
+    """Engines that load from the store whenever their limiters let them."""
+
+    def __init__(self, rate, targets):
+        self.clock = ManualClock()
+        self.rate = rate
+        self.targets = targets
+        self.starts = []
+        self.limiters = []
+
+    def restart(self, randoms, *, is_first_start=True):
+        self.limiters = [
+            StoreLoadLimiter(
+                self.clock.elapsed,
+                WINDOW,
+                1.1,
+                random,
+                is_first_start=is_first_start,
+            )
+            for random in randoms
+        ]
+
+    def ready(self):
+        return [
+            limiter
+            for limiter in self.limiters
+            if limiter.is_ready(self.rate, self.targets)
+        ]
+
+    def load(self):
+        for limiter in self.ready():
+            limiter.record_load_start()
+            self.starts.append(self.clock.elapsed())
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.clock.advance(STEP)
+            self.load()
+
+    @property
+    def allowed(self):
+        return self.rate * 5 * 1.1 + 3
+
+    def check_pace(self, seed=None):
+        for start in self.starts:
+            starts_in_window = [
+                at for at in self.starts if start <= at <= start + WINDOW
+            ]
+            assert len(starts_in_window) <= self.allowed, seed
+
 
 @pytest.mark.parametrize(
     ('rate', 'targets'),
@@ -15,50 +69,24 @@
 )
 def test_all_engines_together_keep_the_store_rate(rate, targets):
     """All engines lose their models and load from the store at once."""
-    clock = ManualClock()
-    window = timedelta(seconds=5)
-    limiters = [
-        StoreLoadLimiter(
-            clock.elapsed, window, 1.1, Random(number), is_first_start=True
-        )
-        for number in range(targets)
-    ]
-    starts = []
-    for _ in range(600):
-        clock.advance(timedelta(milliseconds=100))
-        for limiter in limiters:
-            if limiter.is_ready(rate, targets):
-                limiter.record_load_start()
-                starts.append(clock.elapsed())
-    budget = rate * 5 * 1.1 + 3
-    for start in starts:
-        starts_in_window = [
-            at for at in starts if start <= at <= start + window
-        ]
-        assert len(starts_in_window) <= budget
-    assert len(starts) > 60 * rate / 3
+    engines = Engines(rate, targets)
+    engines.restart(map(Random, range(targets)))
+    engines.run(600)
+    engines.check_pace()
+    assert len(engines.starts) > 60 * rate / 3
 
 
 def test_restarted_keepers_keep_the_store_rate():
     """After a power loss keepers have forgotten the loads just before it."""
-    clock = ManualClock()
-    window = timedelta(seconds=5)
-    rate, targets = 2.1, 9
-    starts = []
+    engines = Engines(2.1, 9)
     for is_first_start in (True, False):
-        limiters = [
-            StoreLoadLimiter(
-                clock.elapsed, window, 1.1, is_first_start=is_first_start
-            )
-            for _ in range(targets)
-        ]
-        for limiter in limiters:
-            if limiter.is_ready(rate, targets):
-                limiter.record_load_start()
-                starts.append(clock.elapsed())
-        clock.advance(timedelta(seconds=2))
-    assert starts
-    assert len(starts) <= rate * 5 * 1.1 + 3
+        engines.restart(
+            (Random() for _ in range(9)), is_first_start=is_first_start
+        )
+        engines.load()
+        engines.clock.advance(timedelta(seconds=2))
+    assert engines.starts
+    assert len(engines.starts) <= engines.allowed
 
 
 @pytest.mark.parametrize('interval_seconds', [0.3, 2, 4.9, 12])
@@ -73,79 +101,32 @@
 
     Loads continue between restarts where there is time for them.
     """
-    clock = ManualClock()
-    window = timedelta(seconds=5)
-    starts = []
+    engines = Engines(rate, targets)
     for generation in range(4):
-        limiters = [
-            StoreLoadLimiter(
-                clock.elapsed,
-                window,
-                1.1,
-                Random(generation * targets + number),
-                is_first_start=generation == 0,
-            )
-            for number in range(targets)
-        ]
-        for _ in range(int((interval_seconds if generation < 3 else 60) * 10)):
-            clock.advance(timedelta(milliseconds=100))
-            for limiter in limiters:
-                if limiter.is_ready(rate, targets):
-                    limiter.record_load_start()
-                    starts.append(clock.elapsed())
-    for start in starts:
-        starts_in_window = [
-            at for at in starts if start <= at <= start + window
-        ]
-        assert len(starts_in_window) <= rate * 5 * 1.1 + 3
-    last = clock.elapsed() - timedelta(seconds=55)
-    assert sum(start > last for start in starts) > 55 * rate / 3
+        first = generation * targets
+        engines.restart(
+            map(Random, range(first, first + targets)),
+            is_first_start=generation == 0,
+        )
+        engines.run(int((interval_seconds if generation < 3 else 60) * 10))
+    engines.check_pace()
+    last = engines.clock.elapsed() - timedelta(seconds=55)
+    assert sum(start > last for start in engines.starts) > 55 * rate / 3
 
 
 def test_random_parts_keep_the_pace_whatever_is_drawn():
     """Engines that get less than one load a window load at random times."""
-    rate, targets = 1.4, 40
-    window = timedelta(seconds=5)
     for seed in range(30):
-        clock = ManualClock()
         random = Random(seed)
-        limiters = [
-            StoreLoadLimiter(
-                clock.elapsed,
-                window,
-                1.1,
-                Random(random.random()),
-                is_first_start=True,
-            )
-            for _ in range(targets)
-        ]
-        starts = []
-        for _ in range(300):
-            clock.advance(timedelta(milliseconds=100))
-            for limiter in limiters:
-                if limiter.is_ready(rate, targets):
-                    limiter.record_load_start()
-                    starts.append(clock.elapsed())
-        for start in starts:
-            starts_in_window = [
-                at for at in starts if start <= at <= start + window
-            ]
-            assert len(starts_in_window) <= rate * 5 * 1.1 + 3, seed
+        engines = Engines(1.4, 40)
+        engines.restart(Random(random.random()) for _ in range(40))
+        engines.run(300)
+        engines.check_pace(seed)
 
 
 def test_engines_that_all_load_behind_a_calm_keep_the_pace():
     """Demand moves to other models in many engines at once."""
-    clock = ManualClock()
-    rate, targets = 7.1, 52
-    window = timedelta(seconds=5)
-    limiters = [
-        StoreLoadLimiter(
-            clock.elapsed, window, 1.1, Random(number), is_first_start=True
-        )
-        for number in range(targets)
-    ]
-    clock.advance(timedelta(seconds=60))
-    assert (
-        sum(limiter.is_ready(rate, targets) for limiter in limiters)
-        <= rate * 5 * 1.1 + 3
-    )
+    engines = Engines(7.1, 52)
+    engines.restart(map(Random, range(52)))
+    engines.clock.advance(timedelta(seconds=60))
+    assert len(engines.ready()) <= engines.allowed
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -1,13 +1,11 @@
 """Targets that send endless bytes instead of an answer."""
 
-import contextlib
 import tracemalloc
 from dataclasses import replace
 from datetime import timedelta
 
 import gevent
 import pytest
-from gevent.event import Event
 
 from relay.world import (
     BODY_MEMORY_BYTES,
@@ -156,23 +154,6 @@
     assert endless.was_closed.wait(2)
 
 
-class FloodingTarget(FakeTarget):
-    """A target that sends a block over and over, as fast as it is read."""
-
-    def __init__(self, block):
-        super().__init__()
-        self.block = block
-        self.was_closed = Event()
-
-    def answer(self, opened):
-        with contextlib.suppress(OSError):
-            opened.sendall(STREAM_HEAD)
-            while True:
-                opened.sendall(self.block)
-        self.was_closed.set()
-        return False
-
-
 @pytest.mark.parametrize(
     'line',
     [b'\n', b'\r\n', b':\n\n', b'id:\n\n', b'data: x\r\n\r\n'],
@@ -190,7 +171,7 @@
             for start in range(0, len(body), chunk_bytes)
         )
     )
-    flooding = FloodingTarget(block)
+    flooding = EndlessTarget(STREAM_HEAD, block, None)
     world = World(
         flooding, kind=RouteKind.STREAMING, is_resumable=False, max_attempts=1
     )
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -99,7 +99,10 @@
 
 
 class EndlessTarget(FakeTarget):
-    """A target that sends `start`, then `piece` until its caller closes."""
+    """A target that sends `start`, then `piece` until its caller closes.
+
+    It pauses before each piece; without a pause it sends as fast as it is read.
+    """
 
     def __init__(self, start, piece, pause):
         super().__init__()
@@ -112,7 +115,8 @@
         with contextlib.suppress(OSError):
             opened.sendall(self.start)
             while True:
-                gevent.sleep(self.pause)
+                if self.pause is not None:
+                    gevent.sleep(self.pause)
                 opened.sendall(self.piece)
         self.was_closed.set()
         return False
