--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -353,9 +353,6 @@
     assert len(read_all(caller)) > len(edge.body)
 
 
-OLD_GET = b'GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
-
-
 def test_a_second_head_is_written_into_an_answer_that_began(edge):
     """Review case 3: an error's status line came inside a chunked body."""
 
@@ -370,6 +367,9 @@
     assert len(edge.reported) == 1
 
 
+OLD_GET = b'GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
+
+
 def stream_to_old_caller(edge, *, is_complete):
     """Return the head and body that an HTTP/1.0 caller receives."""
 
