--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -17,7 +17,6 @@
 from verbenamux_contracts.clock import to_milliseconds
 from verbenamux_http.errors import (
     CallerDisconnected,
-    ExchangeFailure,
     ListenerStopping,
     RequestError,
 )
@@ -30,6 +29,7 @@
     check_key,
 )
 from verbenamux_relay.catalog import RouteKind
+from verbenamux_relay.cut_answers import record_cut
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.dialect import Refusal
 from verbenamux_relay.job import Job, Stage
@@ -55,7 +55,6 @@
     take_retry,
 )
 from verbenamux_relay.sending import (
-    CONNECT_TIMEOUT,
     MAX_CONNECTING_TIME,
     Ending,
     Outcome,
@@ -513,57 +512,7 @@
         model=job.terms.model_key,
         parts=[part.part_id for part in job.terms.parts],
     )
-    if _is_cut_at_beginning(sent.in_flight, outcome):
-        _record_cut(sent, context)
-
-
-def _is_cut_at_beginning(in_flight: InFlight, outcome: Outcome) -> bool:
-    """Return whether an answer ended as its target began to write it."""
-    if in_flight.is_started:
-        return outcome.is_cut and not in_flight.has_gone_on
-    return in_flight.has_head
-
-
-def _accepts_connections(sent: Send) -> bool:
-    """Return whether a target takes connections, as far as there is time."""
-    timeout = min(CONNECT_TIMEOUT, sent.time_left())
-    if timeout <= timedelta():
-        return True
-    try:
-        connection = sent.context.pool.take(sent.target.entry.address, timeout)
-    except ExchangeFailure:
-        return False
-    connection.close()
-    return True
-
-
-def _record_cut(sent: Send, context: RelayContext) -> None:
-    """Record an answer that was cut as it began.
-
-    If its target ended with it, the request is sent again only if none of its
-    parts can be the cause. One that accepts connections may have restarted.
-    """
-    job, entry = sent.job, sent.target.entry
-    crash_id = f'{entry.target_id}@{entry.started_ms}'
-    if _accepts_connections(sent):
-        context.quarantine.suspect(
-            entry.target_id,
-            crash_id,
-            job.workspace_name,
-            job.terms,
-            sent.in_flight.sent_at,
-            has_event=sent.in_flight.is_started,
-        )
-        return
-    context.outcome_context.metrics.count('crashes_suspected_total')
-    context.quarantine.record_crash(
-        crash_id,
-        job.workspace_name,
-        job.terms,
-        sent.in_flight.sent_at,
-        has_event=sent.in_flight.is_started,
-    )
-    job.is_suspect = not context.quarantine.may_send_again(job.terms)
+    record_cut(sent, outcome, context)
 
 
 def _give_up(
--- a/libs/relay/src/verbenamux_relay/sending.py
+++ b/libs/relay/src/verbenamux_relay/sending.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from itertools import islice
 from typing import TypeVar
@@ -95,7 +95,7 @@
     `arrived` is false when no byte reached the target. `is_model_missing` is
     true when the target does not hold the requested model or adapter,
     `is_replaced` when another target answered at its address, `is_cut` when the
-    target ended a stream within it.
+    target ended the connection instead of its answer.
     """
 
     ending: Ending
@@ -189,7 +189,8 @@
     try:
         return _follow(sent, exchange)
     except ExchangeFailure as failure:
-        return _failure_outcome(failure)
+        is_cut = failure.fault is Fault.BROKEN
+        return replace(_failure_outcome(failure), is_cut=is_cut)
     finally:
         sent.context.pool.return_connection(sent.target.entry.address, exchange)
 
