Show that targets which end without a byte teach gateways nothing (red)

Real gateways and recorded targets: one prompt part ends its target before any byte of the answer, as a process does whose head was still buffered.

Targets of the soak now end as processes do: they closed only once their handlers had written a 500. Streams of plain targets need no keeper.

--- a/tests/platform/test_query_of_death.py
+++ b/tests/platform/test_query_of_death.py
@@ -19,7 +19,7 @@
 class CrashingTarget(FakeTarget):
     """Ends as it begins to answer a request with the deadly part.
 
-    It writes `events` events before.
+    It writes `events` events before, or nothing at all if that is None.
     """
 
     def __init__(self, events=0):
@@ -33,12 +33,13 @@
         super().serve(opened, peer)
 
     def answer(self, opened):
-        opened.sendall(STREAM_HEAD)
         prefix = self.requests[-1].headers.get('Prompt-Prefix')
         if not self.is_doomed and DEADLY_PART not in prefix:
-            opened.sendall(event(1) + END)
+            opened.sendall(STREAM_HEAD + event(1) + END)
             return True
-        for number in range(1, self.events + 1):
+        if self.events is not None:
+            opened.sendall(STREAM_HEAD)
+        for number in range(1, (self.events or 0) + 1):
             opened.sendall(event(number))
         gevent.sleep(0.01)
         self.server.stop(timeout=0)
@@ -51,11 +52,12 @@
     return {'Prompt-Prefix': ','.join(f'{part}:100' for part in parts)}
 
 
-def poisoned_world(target_count=12, events=0):
+def poisoned_world(target_count=12, events=0, max_attempts=2):
     return World(
         *(CrashingTarget(events) for _ in range(target_count)),
         kind=RouteKind.STREAMING,
         is_resumable=True,
+        max_attempts=max_attempts,
     )
 
 
@@ -63,11 +65,12 @@
     return [made for made in world.targets.values() if not made.server.started]
 
 
-@pytest.mark.parametrize('events', [0, 1, 3])
+@pytest.mark.parametrize('events', [None, 0, 1, 3])
 def test_requests_with_a_part_that_crashes_targets_stop_reaching_them(events):
     """Issue 28: no two requests were alike, and one part crashed 26 targets.
 
-    Review case 5: nor was it found where the targets wrote an event before.
+    Review case 5: nor was it found where the targets wrote an event before, nor
+    in issue 49 where they wrote no byte.
     """
     world = poisoned_world(events=events)
     context = world.context()
@@ -103,6 +106,14 @@
     assert len(crashed(world)) == 1
 
 
+def test_a_request_under_which_targets_end_without_a_byte_ends_two_at_most():
+    """Issue 49: one request ended as many targets as it was sent to."""
+    world = poisoned_world(events=None, max_attempts=4)
+    reply = world.ask(prompt(SHARED_PART, DEADLY_PART, 'own'))
+    assert reply.status == 502
+    assert len(crashed(world)) == 2
+
+
 @pytest.mark.parametrize('events', [0, 1])
 @pytest.mark.parametrize('shared', [(), (SHARED_PART,)])
 def test_a_request_that_crashes_targets_stops_reaching_them(shared, events):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -133,7 +133,8 @@
             header_fields.append(('Model', f'{model}{adapter}'))
             header_fields.append(('Token-Usage', '20,6'))
             if self.world.is_poisoned:
-                header_fields.append(('Prompt-Prefix', self.draw_prompt()))
+                attempt.prompt = self.draw_prompt()
+                header_fields.append(('Prompt-Prefix', attempt.prompt))
         headers = Headers(tuple(header_fields))
         return Outgoing('POST', PATHS[attempt.kind], headers, b'body')
 
--- a/tests/soak/checking.py
+++ b/tests/soak/checking.py
@@ -9,6 +9,10 @@
 from collections.abc import Callable, Iterator
 from signal import SIGTERM
 
+from soak.deadly_checks import (
+    deadly_parts_stop_reaching_targets,
+    sound_requests_begin_beside_deadly_ones,
+)
 from soak.evidence import Attempt, Evidence, Stop
 from soak.targets import (
     EVENTS,
@@ -49,9 +53,6 @@
 # requests come to its target from the gateway that it was sent to.
 MAX_HOLD_NOTICE_SECONDS = 0.5
 MAX_REQUESTS_IN_HOLD = 2
-CRASHES_TO_LEARN = 5
-STABLE_WINDOW_SECONDS = 3.0
-MAX_LATE_DEADLY_REQUESTS = 3
 # At least this fraction of requests after the recovery time is served.
 MIN_RECOVERED_FRACTION = 0.25
 
@@ -269,29 +270,6 @@
     yield from evidence.book.crashes
 
 
-def deadly_parts_stop_reaching_targets(evidence: Evidence) -> Iterator[str]:
-    """From a stable window behind the fifth crash three requests go wrong."""
-    crashes = sorted(evidence.book.deadly_crashes)
-    if len(crashes) < CRASHES_TO_LEARN:
-        return
-    learned_at = crashes[CRASHES_TO_LEARN - 1] + STABLE_WINDOW_SECONDS
-    gateway_by_request = {
-        attempt.request_id: attempt.gateway for attempt in evidence.attempts
-    }
-    late = [
-        (arrived_at, request_id)
-        for arrived_at, request_id in evidence.book.deadly_arrivals
-        if arrived_at > learned_at
-        and not evidence.has_fault(
-            {gateway_by_request[request_id]},
-            arrived_at - STABLE_WINDOW_SECONDS,
-            arrived_at,
-        )
-    ]
-    if len(late) > MAX_LATE_DEADLY_REQUESTS:
-        yield f'{len(late)} deadly requests after {learned_at:.2f} s: {late}'
-
-
 def limits_hold(evidence: Evidence) -> Iterator[str]:
     """A workspace stays within its limit over all gateways."""
     max_runs = (
@@ -551,6 +529,7 @@
     engines_have_one_holder,
     engines_are_not_overrun,
     deadly_parts_stop_reaching_targets,
+    sound_requests_begin_beside_deadly_ones,
     limits_hold,
     retries_stay_within_the_budget,
     requests_reach_few_targets,
--- a/tests/soak/evidence.py
+++ b/tests/soak/evidence.py
@@ -28,6 +28,7 @@
     is_whole: bool = False
     has_disconnected: bool = False
     failure: str = ''
+    prompt: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent import socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -101,6 +102,14 @@
 
     is_answering = False
 
+    def handle(self):
+        opened = self.socket
+        self.server.opened.add(opened)
+        try:
+            super().handle()
+        finally:
+            self.server.opened.discard(opened)
+
     def get_environ(self):
         return super().get_environ() | {'soak.connection': self}
 
@@ -153,12 +162,16 @@
             log=None,
             error_log=None,
         )
+        self.server.opened = set()
         self.server.start()
 
     def crash(self):
-        """Stop immediately; running requests are cut."""
-        self.server.stop(timeout=0)
-        self.server = None
+        """End as a process does: its connections close as they are."""
+        server, self.server = self.server, None
+        for connection in tuple(server.opened):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        server.stop(timeout=0)
 
     def answer(self, environ, start):
         path = environ['PATH_INFO']
@@ -267,9 +280,61 @@
         return [whole_answer(request_id)]
 
 
-class Engine(Target):
+class Streamer(Target):
+    """A service that reads a prompt, then answers with a stream.
+
+    With `on_deadly` it ends as it begins to write an answer on a deadly part:
+    within its first event, or before any byte if `is_crash_mute`.
+    """
+
+    def __init__(self, *given):
+        super().__init__(*given)
+        self.reading_seconds = 0.1
+        self.is_crash_mute = False
+
+    def run(self, environ, start, request_id):
+        run = self.record_run(environ, request_id)
+        prefix = environ.get('HTTP_PROMPT_PREFIX', '')
+        is_deadly = self.on_deadly is not None and DEADLY_PART in prefix
+        if is_deadly:
+            self.book.deadly_arrivals.append((self.now(), request_id))
+        gevent.sleep(self.reading_seconds)
+        if is_deadly and self.is_crash_mute:
+            self.end()
+            return []
+        start('200 OK', self.answer_headers(request_id))
+        if is_deadly:
+            return self.crash_in_answer()
+        first = int(environ.get('HTTP_LAST_EVENT_ID') or 0) + 1
+        return self.events(run, request_id, first)
+
+    def crash_in_answer(self):
+        """End behind the head of an answer, inside its first event."""
+        yield b'id: 1\n'
+        self.end()
+
+    def end(self):
+        self.book.deadly_crashes.append(self.now())
+        gevent.spawn(self.on_deadly)
+        gevent.sleep(MAX_CRASH_SECONDS)
+
+    def events(self, run, request_id, first):
+        for number in range(first, EVENTS + 1):
+            gevent.sleep(EVENT_SECONDS + self.slow)
+            if self.server is None:
+                raise ConnectionError('the target crashed')
+            yield event_bytes(request_id, number)
+        run.ended_at = self.now()
+        run.is_whole = True
+
+
+class Engine(Streamer):
     """An engine that executes load and unload orders."""
 
+    def __init__(self, *given):
+        super().__init__(*given)
+        self.reading_seconds = 0
+
     def start(self):
         super().start()
         self.adapters_by_model = {}
@@ -351,27 +416,4 @@
         adapters = self.ready_models().get(model)
         if adapters is None or (adapter and adapter not in adapters):
             return self.refuse(start, '421 Misdirected', request_id)
-        run = self.record_run(environ, request_id)
-        start('200 OK', self.answer_headers(request_id))
-        prefix = environ.get('HTTP_PROMPT_PREFIX', '')
-        if self.on_deadly is not None and DEADLY_PART in prefix:
-            return self.crash_in_answer(request_id)
-        first = int(environ.get('HTTP_LAST_EVENT_ID') or 0) + 1
-        return self.events(run, request_id, first)
-
-    def crash_in_answer(self, request_id):
-        """End behind the head of an answer, inside its first event."""
-        self.book.deadly_arrivals.append((self.now(), request_id))
-        yield b'id: 1\n'
-        self.book.deadly_crashes.append(self.now())
-        gevent.spawn(self.on_deadly)
-        gevent.sleep(MAX_CRASH_SECONDS)
-
-    def events(self, run, request_id, first):
-        for number in range(first, EVENTS + 1):
-            gevent.sleep(EVENT_SECONDS + self.slow)
-            if self.server is None:
-                raise ConnectionError('the engine crashed')
-            yield event_bytes(request_id, number)
-        run.ended_at = self.now()
-        run.is_whole = True
+        return super().run(environ, start, request_id)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -88,6 +88,10 @@
         self.keys = {'kept': 'w1', 'limited': 'w2', 'doomed-1': 'w1'}
         self.version = 0
         self.plain_service = 'ledger'
+        self.plain_class = Plain
+        self.stream_service = 'engine'
+        # Without proxies an address refuses while its target is away.
+        self.are_targets_proxied = True
         self.max_attempts = 2
         self.timeout_ms_by_kind = TIMEOUT_MS_BY_KIND
         self.objective_ms_by_kind = OBJECTIVE_MS_BY_KIND
@@ -114,7 +118,9 @@
         for name in self.plains:
             address = f'{self.host(name)}:{APP_PORT}'
             service = 'ledger' if name != 'plain-3' else 'archive'
-            self.targets[name] = Plain(self.book, self.clock, address, service)
+            self.targets[name] = self.plain_class(
+                self.book, self.clock, address, service
+            )
         for name in KEEPERS:
             address = f'{self.host(name)}:{APP_PORT}'
             engine = Engine(self.book, self.clock, address, 'engine')
@@ -277,7 +283,9 @@
             'route_kind': route_kind,
             'timeout_ms': self.timeout_ms_by_kind[kind],
             'target_latency_ms': self.objective_ms_by_kind[kind],
-            'service': 'engine' if is_stream else self.plain_service,
+            'service': (
+                self.stream_service if is_stream else self.plain_service
+            ),
             'max_attempts': self.max_attempts,
             'resumable': is_stream,
         }
@@ -285,9 +293,10 @@
     def entry(self, name, state='ready'):
         target = self.targets[name]
         held = getattr(target, 'adapters_by_model', {})
+        port = PROXY_PORT if self.are_targets_proxied else APP_PORT
         return {
             'service': target.service,
-            'address': f'{self.host(name)}:{PROXY_PORT}',
+            'address': f'{self.host(name)}:{port}',
             'zone': 'z1' if name.endswith('1') else 'z2',
             'slots': target.slots,
             'state': state,
