Learn a deadly part from targets that end before any byte of an answer

One prompt part ended one target after the other, and no gateway suspected it: 38 and 37 targets in 20 s, 28 and 25 requests with the part from a stable window behind the fifth end on (3 may), 158 and 184 of 565 sound requests answered.

Cause: a crash counted as evidence only where the head of the answer had arrived. A process that ends as it begins to write has the head in its buffer, and its connections close without a byte. What waits there is cut in the same way, so a cut alone names nobody.

Ruled out: retries beyond the budget (none too many in these plays), lost or late verdicts (no crash was suspected at all), gateways that restart.

Change: a request cut by an ended target before any byte is sent again once. One that is answered elsewhere is innocent and forgotten. One that ends a second target, or is never answered, is evidence: half a crash for each end, so that two in a row under one prompt weigh like one behind a head. Ends in one burst still count as one; a request that a gateway itself sent once a crash was known is told apart for each request, not for each crash, as the sound ones that a crash cuts had hidden it.

Why it works: sound requests were cut as well (31 once, 8 twice, beside 14 of 17 deadly ones cut twice), but are answered at another target and their parts with them; the deadly part never is.

--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -451,7 +451,7 @@
     `crash_id` names one lifetime of the target. `parts` are the parts of the
     prompt that other requests may share, in its order; `prompt` names all of
     it, empty if the sender does not tell. `has_event` is whether an event of
-    the answer had arrived.
+    the answer had arrived, `is_unanswered` whether not even its head had.
     """
 
     crash_id: str
@@ -459,6 +459,7 @@
     parts: tuple[str, ...]
     prompt: str = ''
     has_event: bool = False
+    is_unanswered: bool = False
 
 
 class Verdict(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/relay/src/verbenamux_relay/crash_evidence.py
+++ b/libs/relay/src/verbenamux_relay/crash_evidence.py
@@ -11,11 +11,15 @@
 One whole prompt may crash targets, too: its request is sent again, by a gateway
 or by its caller with a new id, and ends one after another. Its crashes convict
 that prompt, and count as one against the parts that it shares with others.
+
+A request whose target ended before a byte of its answer may only have waited
+there. It counts half if it was not answered elsewhere either: two targets that
+end so under one request weigh like one that wrote a head.
 """
 
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from math import log
 
@@ -30,6 +34,7 @@
 FALSE_CONVICTION_RATE = 1e-4
 CRASH_WEIGHT = log(MIN_CRASH_RATE / COINCIDENCE_RATE)
 EVENT_CRASH_WEIGHT = log(MIN_CRASH_RATE / EVENT_COINCIDENCE_RATE)
+UNANSWERED_CRASH_WEIGHT = CRASH_WEIGHT / 2
 ANSWER_WEIGHT = log((1 - MIN_CRASH_RATE) / (1 - COINCIDENCE_RATE))
 CONVICTION_WEIGHT = -log(FALSE_CONVICTION_RATE)
 # Crashes that become known within this time after the first one of them are one
@@ -44,13 +49,26 @@
     """A request whose answer had just begun when its target crashed.
 
     `prompt` names all of its prompt, `parts` are those that others may share.
-    `has_event` is whether an event had arrived.
+    `has_event` is whether an event had arrived, `is_unanswered` whether not
+    even a head had. `sent_at` is None if another gateway sent it.
     """
 
     workspace: str
     prompt: str
     parts: tuple[str, ...]
     has_event: bool = False
+    is_unanswered: bool = False
+    sent_at: timedelta | None = field(default=None, compare=False)
+
+    @property
+    def part_weight(self) -> float:
+        """Return what it weighs against its parts."""
+        return UNANSWERED_CRASH_WEIGHT if self.is_unanswered else CRASH_WEIGHT
+
+    @property
+    def prompt_weight(self) -> float:
+        """Return what it weighs against its whole prompt."""
+        return EVENT_CRASH_WEIGHT if self.has_event else self.part_weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +78,8 @@
     `crash_id` names one lifetime of the target. `parts` are those that other
     requests may share, in the order of the prompt. Several requests may have
     begun as it ended: `workspaces` and `parts` are those of all. `known_at` is
-    when this gateway learned of it, `sent_at` when its first request was sent,
-    None if another gateway sent it. `began` are the requests that are known.
+    when this gateway learned of it. `began` are the requests that are known;
+    without them, `sent_at` is when its request was sent, if that is known.
     """
 
     crash_id: str
@@ -76,8 +94,9 @@
         """Return what the crash weighs against the prompts of its requests."""
         weights: dict[str, float] = {}
         for began in self.began:
-            weight = EVENT_CRASH_WEIGHT if began.has_event else CRASH_WEIGHT
-            weights[began.prompt] = max(weight, weights.get(began.prompt, 0))
+            weights[began.prompt] = max(
+                began.prompt_weight, weights.get(began.prompt, 0)
+            )
         return weights
 
 
@@ -110,28 +129,14 @@
         )
 
 
-def count_bursts(crashes: Iterable[Crash]) -> int:
-    """Return how many crashes there are if those at once count as one.
-
-    A request that was sent once the first of them was known did not begin
-    beside it.
-    """
-    bursts = 0
-    began_at = timedelta.min
-    for crash in sorted(crashes, key=_known_at):
-        was_sent_later = crash.sent_at is not None and crash.sent_at >= began_at
-        if (
-            was_sent_later
-            or not bursts
-            or (crash.known_at - began_at > BURST_TIME)
-        ):
-            bursts += 1
-            began_at = crash.known_at
-    return bursts
-
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    """A request with one part under which a target crashed."""
 
-def _known_at(crash: Crash) -> timedelta:
-    return crash.known_at
+    prompt: str
+    at: timedelta
+    sent_at: timedelta | None
+    weight: float
 
 
 def find_culprits(
@@ -150,8 +155,7 @@
             _joint_parts(part, attributed, rate_by_part),
             tuple(attributed),
             answers_by_part.get(part, 0),
-            count_bursts(_under_unlike_prompts(part, attributed))
-            * CRASH_WEIGHT,
+            _weight_against(part, attributed),
         )
         if culprit.weight >= CONVICTION_WEIGHT:
             yield culprit
@@ -180,16 +184,74 @@
             yield culprit
 
 
-def _under_unlike_prompts(
-    part: str, crashes: Iterable[Crash]
-) -> Iterator[Crash]:
-    """Yield the crashes with a prompt with the part that no other one had."""
-    met: set[str] = set()
-    for crash in crashes:
-        prompts = {began.prompt for began in crash.began if part in began.parts}
-        if not prompts or prompts - met:
-            yield crash
-        met.update(prompts)
+def _weight_against(part: str, crashes: Iterable[Crash]) -> float:
+    """Return what crashes weigh against a part.
+
+    Those at once weigh as one, and all under one prompt as one.
+    """
+    return sum(_burst_weights(_bursts(_sightings(part, crashes))))
+
+
+def _burst_weights(bursts: Iterable[list[_Sighting]]) -> Iterator[float]:
+    left_by_prompt: defaultdict[str, float] = defaultdict(lambda: CRASH_WEIGHT)
+    for burst in bursts:
+        weight, prompt = max(_weights_in(burst, left_by_prompt))
+        left_by_prompt[prompt] -= weight
+        yield weight
+
+
+def _weights_in(
+    burst: Iterable[_Sighting], left_by_prompt: Mapping[str, float]
+) -> Iterator[tuple[float, str]]:
+    """Yield what the prompts of a burst still weigh, each with its prompt."""
+    weight_by_prompt: defaultdict[str, float] = defaultdict(float)
+    for sighting in burst:
+        weight_by_prompt[sighting.prompt] += sighting.weight
+    for prompt, weight in weight_by_prompt.items():
+        yield min(weight, left_by_prompt[prompt]), prompt
+
+
+def _bursts(sightings: Iterable[_Sighting]) -> Iterator[list[_Sighting]]:
+    """Yield the sightings in order, those at once together.
+
+    A request that was sent once the first of them was known did not begin
+    beside it.
+    """
+    burst: list[_Sighting] = []
+    for sighting in sightings:
+        if burst and _is_apart(burst[0], sighting):
+            yield burst
+            burst = []
+        burst.append(sighting)
+    if burst:
+        yield burst
+
+
+def _is_apart(first: _Sighting, sighting: _Sighting) -> bool:
+    sent_at = sighting.sent_at
+    was_sent_later = sent_at is not None and sent_at >= first.at
+    return was_sent_later or sighting.at - first.at > BURST_TIME
+
+
+def _sightings(part: str, crashes: Iterable[Crash]) -> Iterator[_Sighting]:
+    """Yield the requests with a part under which targets crashed, in order."""
+    for crash in sorted(crashes, key=_known_at):
+        if not crash.began:
+            yield _Sighting(
+                crash.crash_id, crash.known_at, crash.sent_at, CRASH_WEIGHT
+            )
+        for began in crash.began:
+            if part in began.parts:
+                yield _Sighting(
+                    began.prompt,
+                    crash.known_at,
+                    began.sent_at,
+                    began.part_weight,
+                )
+
+
+def _known_at(crash: Crash) -> timedelta:
+    return crash.known_at
 
 
 def _crash_rates(
--- a/libs/relay/src/verbenamux_relay/cut_answers.py
+++ b/libs/relay/src/verbenamux_relay/cut_answers.py
@@ -8,9 +8,11 @@
 from datetime import timedelta
 
 from verbenamux_http.errors import ExchangeFailure
+from verbenamux_relay.job import Job
 from verbenamux_relay.relay_context import RelayContext
 from verbenamux_relay.sending import CONNECT_TIMEOUT, Outcome, Send
 from verbenamux_relay.targets import InFlight
+from verbenamux_relay.unanswered_cuts import MIN_ENDED_TARGETS, Cut
 
 
 class Received(enum.Enum):
@@ -25,8 +27,9 @@
     """Record an answer that was cut before it had gone on.
 
     If its target ended as it began to write it, the request is sent again only
-    if none of its parts can be the cause. A target that accepts connections may
-    have restarted.
+    if none of its parts can be the cause; where no byte had arrived, this holds
+    from the second such target on. One that accepts connections may have
+    restarted.
     """
     job, entry = sent.job, sent.target.entry
     received = _received(sent.in_flight)
@@ -47,28 +50,31 @@
         waiting_beside=_waiting_beside(sent),
         parts=[part.part_id for part in job.terms.parts],
     )
-    if received is Received.NOTHING:
-        return
-    crash_id = f'{entry.target_id}@{entry.started_ms}'
-    if is_open:
-        context.quarantine.suspect(
-            entry.target_id,
-            crash_id,
-            job.workspace_name,
-            job.terms,
-            sent.in_flight.sent_at,
-            has_event=received is Received.EVENT,
-        )
-        return
-    context.outcome_context.metrics.count('crashes_suspected_total')
-    context.quarantine.record_crash(
-        crash_id,
+    cut = Cut(
+        f'{entry.target_id}@{entry.started_ms}',
         job.workspace_name,
         job.terms,
+        context.now(),
         sent.in_flight.sent_at,
         has_event=received is Received.EVENT,
+        is_unanswered=received is Received.NOTHING,
     )
-    job.is_suspect = not context.quarantine.may_send_again(job.terms)
+    job.is_cut_unanswered |= cut.is_unanswered
+    if is_open:
+        context.quarantine.suspect(entry.target_id, cut)
+        return
+    if not cut.is_unanswered:
+        context.outcome_context.metrics.count('crashes_suspected_total')
+    context.quarantine.record_crash(cut)
+    job.ended_targets += 1
+    if not cut.is_unanswered or job.ended_targets >= MIN_ENDED_TARGETS:
+        job.is_suspect = not context.quarantine.may_send_again(job.terms)
+
+
+def record_end(job: Job, context: RelayContext) -> None:
+    """Record that a job ended, answered or not."""
+    if job.is_cut_unanswered:
+        context.quarantine.record_unanswered_end(job.terms.request_id)
 
 
 def _received(in_flight: InFlight) -> Received:
--- a/libs/relay/src/verbenamux_relay/job.py
+++ b/libs/relay/src/verbenamux_relay/job.py
@@ -37,7 +37,9 @@
     `handed_time` is the time left that the last target was handed.
     `retry_reserved_at` is when a retry was reserved for the next send, if any.
     `connecting` is the time spent on failed connections. `cause` names the
-    last failure. `is_suspect` is whether it may have crashed its target.
+    last failure. `is_suspect` is whether it may have crashed its target,
+    `is_cut_unanswered` whether a target cut it before any byte of an answer,
+    and `ended_targets` counts those that ended then.
     """
 
     request: Request
@@ -66,6 +68,8 @@
     steps: list[str] = field(default_factory=list)
     stage: Stage = Stage.CHOOSING
     is_suspect: bool = False
+    is_cut_unanswered: bool = False
+    ended_targets: int = 0
     kept_answer_bytes: int = 0
 
     @contextmanager
--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -28,6 +28,7 @@
     find_prompts,
 )
 from verbenamux_relay.terms import RequestTerms
+from verbenamux_relay.unanswered_cuts import Cut, UnansweredCuts
 
 # A part whose answers began within this time may be sent again after a crash.
 RECENT_ANSWER_WINDOW = timedelta(seconds=5)
@@ -82,18 +83,6 @@
     probe_id: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _Suspicion:
-    """A cut answer of a target that may have crashed."""
-
-    crash_id: str
-    workspace: str
-    terms: RequestTerms
-    at: timedelta
-    sent_at: timedelta
-    has_event: bool
-
-
 class Quarantine:
     """Suspected and convicted prompt parts as one gateway knows them."""
 
@@ -121,9 +110,8 @@
         self._answered_prompts = AnswerCounts()
         self._crash_by_id: OrderedDict[str, Crash] = OrderedDict()
         self._own_began_by_crash: dict[str, tuple[Began, ...]] = {}
-        self._suspicions_by_target: OrderedDict[str, list[_Suspicion]] = (
-            OrderedDict()
-        )
+        self._suspicions_by_target: OrderedDict[str, list[Cut]] = OrderedDict()
+        self._unanswered = UnansweredCuts()
         self._forgiven_ids: OrderedDict[str, None] = OrderedDict()
         self._own_answers: Counter[str] = Counter()
         self._answers_by_instance: OrderedDict[str, Mapping[str, int]] = (
@@ -134,6 +122,7 @@
     def record_answer(self, terms: RequestTerms) -> None:
         """Record that an answer to these terms began, and its target lives."""
         now = self._elapsed()
+        self._unanswered.acquit(terms.request_id)
         prompt = _prompt_name(terms)
         self._answered_prompts.record(prompt, now)
         for part in _shared_parts(terms):
@@ -145,92 +134,41 @@
             if known.probe_id == terms.request_id:
                 self.release(key, is_own=True)
 
-    def record_crash(
-        self,
-        crash_id: str,
-        workspace: str,
-        terms: RequestTerms,
-        sent_at: timedelta | None = None,
-        cut_at: timedelta | None = None,
-        *,
-        has_event: bool = False,
-    ) -> None:
+    def record_crash(self, cut: Cut) -> None:
         """Record a target that ended as it began to answer a request.
 
-        The request was sent at `sent_at` and its answer cut at `cut_at`, both
-        by default just now; `has_event` is whether it had an event.
+        Without a byte of the answer the request may only have waited there: it
+        is held until it ends another target, or ends.
         """
-        if not terms.parts:
+        if not cut.terms.parts:
             return
-        parts = _shared_parts(terms)
-        began = Began(workspace, _prompt_name(terms), parts, has_event)
-        self._own_began_by_crash[crash_id] = _all_began(
-            self._own_began_by_crash.get(crash_id, ()), (began,)
-        )
-        now = self._elapsed()
-        crash = Crash(
-            crash_id,
-            (workspace,),
-            parts,
-            now if cut_at is None else cut_at,
-            now if sent_at is None else sent_at,
-            (began,),
-        )
-        self._add_crash(crash)
-        self._log(
-            'crash_suspected',
-            request_id=terms.request_id,
-            target=crash_id,
-            workspace=workspace,
-            parts=parts,
-            prompt=began.prompt,
-            has_event=has_event,
-            crashes=len(self._crash_by_id),
-        )
-        self.has_news = True
-        self.review()
+        evidence = self._unanswered.add(cut) if cut.is_unanswered else (cut,)
+        self._add_evidence(evidence)
 
-    def suspect(
-        self,
-        target_id: str,
-        crash_id: str,
-        workspace: str,
-        terms: RequestTerms,
-        sent_at: timedelta,
-        *,
-        has_event: bool = False,
-    ) -> None:
+    def record_unanswered_end(self, request_id: str) -> None:
+        """Record that a request, cut by ended targets, got no answer."""
+        self._add_evidence(self._unanswered.end(request_id))
+
+    def record_withdrawal(self, request_id: str) -> None:
+        """Record that a request's caller left: it might have been answered."""
+        self._unanswered.acquit(request_id)
+
+    def suspect(self, target_id: str, cut: Cut) -> None:
         """Record a cut answer of a target that accepts connections.
 
         It is a crash if the target turns out to have ended soon.
         """
         suspicions = self._suspicions_by_target.setdefault(target_id, [])
-        suspicions.append(
-            _Suspicion(
-                crash_id,
-                workspace,
-                terms,
-                self._elapsed(),
-                sent_at,
-                has_event,
-            )
-        )
+        suspicions.append(cut)
         del suspicions[:-MAX_CRASH_REQUESTS]
         if len(self._suspicions_by_target) > MAX_CRASHES:
             self._suspicions_by_target.popitem(last=False)
 
     def confirm_end(self, target_id: str) -> None:
         """Record that a target ended: what was suspected is a crash."""
-        for suspicion in self._suspicions_by_target.pop(target_id, ()):
-            if self._elapsed() - suspicion.at < SUSPICION_WINDOW:
-                self.record_crash(
-                    suspicion.crash_id,
-                    suspicion.workspace,
-                    suspicion.terms,
-                    suspicion.sent_at,
-                    suspicion.at,
-                    has_event=suspicion.has_event,
-                )
+        for cut in self._suspicions_by_target.pop(target_id, ()):
+            if self._elapsed() - cut.at < SUSPICION_WINDOW:
+                self.record_crash(cut)
 
     def may_send_again(self, terms: RequestTerms) -> bool:
         """Return whether all parts of a prompt were answered lately."""
@@ -276,6 +214,7 @@
                     began.parts,
                     began.prompt,
                     began.has_event,
+                    began.is_unanswered,
                 )
                 for crash_id, own in self._own_began_by_crash.items()
                 for began in own
@@ -293,7 +232,11 @@
         for notice in evidence.crashes:
             parts = _bounded(notice.parts, MAX_CRASH_PARTS)
             began = Began(
-                notice.workspace, notice.prompt, parts, notice.has_event
+                notice.workspace,
+                notice.prompt,
+                parts,
+                notice.has_event,
+                notice.is_unanswered,
             )
             self._add_crash(
                 Crash(
@@ -406,6 +349,46 @@
                 ],
             )
 
+    def _add_evidence(self, cuts: Iterable[Cut]) -> None:
+        for cut in cuts:
+            self._add_cut(cut)
+            self.has_news = True
+        self.review()
+
+    def _add_cut(self, cut: Cut) -> None:
+        parts = _shared_parts(cut.terms)
+        began = Began(
+            cut.workspace,
+            _prompt_name(cut.terms),
+            parts,
+            cut.has_event,
+            cut.is_unanswered,
+            cut.sent_at,
+        )
+        self._own_began_by_crash[cut.crash_id] = _all_began(
+            self._own_began_by_crash.get(cut.crash_id, ()), (began,)
+        )
+        self._add_crash(
+            Crash(
+                cut.crash_id,
+                (cut.workspace,),
+                parts,
+                cut.at,
+                began=(began,),
+            )
+        )
+        self._log(
+            'crash_suspected',
+            request_id=cut.terms.request_id,
+            target=cut.crash_id,
+            workspace=cut.workspace,
+            parts=parts,
+            prompt=began.prompt,
+            has_event=cut.has_event,
+            has_head=not cut.is_unanswered,
+            crashes=len(self._crash_by_id),
+        )
+
     def _add_crash(self, added: Crash) -> None:
         """Add a crash, or the parts of another request that may explain it."""
         if added.crash_id in self._forgiven_ids:
@@ -552,14 +535,12 @@
 
 def _joined(known: Crash, added: Crash) -> Crash:
     """Return a crash with what another request tells of it."""
-    sent = (at for at in (known.sent_at, added.sent_at) if at is not None)
     workspaces = dict.fromkeys((*known.workspaces, *added.workspaces))
     parts = dict.fromkeys((*known.parts, *added.parts))
     return replace(
         known,
         workspaces=tuple(workspaces)[:MAX_CRASH_WORKSPACES],
         parts=tuple(parts)[:MAX_CRASH_PARTS],
-        sent_at=min(sent, default=None),
         began=_all_began(known.began, added.began),
     )
 
--- a/libs/relay/src/verbenamux_relay/relaying.py
+++ b/libs/relay/src/verbenamux_relay/relaying.py
@@ -29,7 +29,7 @@
     check_key,
 )
 from verbenamux_relay.catalog import RouteKind
-from verbenamux_relay.cut_answers import record_cut
+from verbenamux_relay.cut_answers import record_cut, record_end
 from verbenamux_relay.demand import DemandMeter
 from verbenamux_relay.dialect import Refusal
 from verbenamux_relay.job import Job, Stage
@@ -173,11 +173,14 @@
     try:
         _run(job, context)
     except CallerDisconnected:
+        context.quarantine.record_withdrawal(job.terms.request_id)
         record_outcome(job, 'caller_gone', context.outcome_context)
         raise
     except Exception as error:
         refused = _error_refusal(job, error, context.outcome_context)
         refuse(job, refused, context.outcome_context)
+    finally:
+        record_end(job, context)
 
 
 def _stop_refusal(job: Job, cause: str) -> RequestRefusedError:
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -20,6 +20,7 @@
 from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.shared_reads import read_directly
 from verbenamux_relay.terms import PromptPart, RequestTerms
+from verbenamux_relay.unanswered_cuts import Cut
 from verbenamux_runtime.metrics import Metrics
 
 GATEWAYS = 68
@@ -142,8 +143,9 @@
 def test_a_verdict_is_saved_when_the_store_is_back_and_read_at_a_start():
     store = Members()
     gateway, process, _ = started_gateway()
-    gateway.quarantine.record_crash('1', 'w', TERMS)
-    gateway.quarantine.record_crash('2', 'w', terms('other'))
+    for crash_id, crashing in (('1', TERMS), ('2', terms('other'))):
+        now = process.clock.elapsed()
+        gateway.quarantine.record_crash(Cut(crash_id, 'w', crashing, now, now))
     store.is_away = True
     save_verdicts(store, gateway, process)
     store.is_away = False
--- a/tests/relay/test_crash_evidence.py
+++ b/tests/relay/test_crash_evidence.py
@@ -8,6 +8,7 @@
 
 from verbenamux_relay.crash_evidence import (
     BURST_TIME,
+    Began,
     Crash,
     find_culprits,
 )
@@ -83,3 +84,52 @@
         )
     ]
     assert convicted(evidence) == {('a', 'dead')}
+
+
+def unanswered(prompt, *crash_ids, began_at=timedelta(), sent_at=None):
+    """Return crashes in a row under one prompt, before any byte."""
+    return [
+        Crash(
+            crash_id,
+            ('w',),
+            ('a', 'dead'),
+            began_at + timedelta(milliseconds=100) * number,
+            began=(
+                Began(
+                    'w',
+                    prompt,
+                    ('a', 'dead'),
+                    is_unanswered=True,
+                    sent_at=sent_at,
+                ),
+            ),
+        )
+        for number, crash_id in enumerate(crash_ids)
+    ]
+
+
+def test_two_prompts_under_which_two_targets_end_each_convict_their_part():
+    first = unanswered('first', '1', '2')
+    second = unanswered('second', '3', '4', began_at=BURST_TIME * 2)
+    assert not convicted([*first, *second[:1]], {'a': 10})
+    assert convicted([*first, *second], {'a': 10}) == {('dead',)}
+
+
+def test_one_prompt_convicts_no_shared_part_however_many_targets_end():
+    assert not convicted(unanswered('same', *'123456789'), {'a': 10})
+
+
+def test_prompts_that_were_sent_beside_each_other_count_as_one():
+    beside = [
+        *unanswered('first', '1', '2'),
+        *unanswered('second', '3', '4', began_at=BURST_TIME / 4),
+    ]
+    assert not convicted(beside, {'a': 10})
+    after = unanswered(
+        'second',
+        '3',
+        '4',
+        began_at=BURST_TIME / 4,
+        sent_at=BURST_TIME / 5,
+    )
+    assert convicted([*beside[:2], *after], {'a': 10}) == {('dead',)}
--- a/tests/relay/test_quarantine.py
+++ b/tests/relay/test_quarantine.py
@@ -13,16 +13,15 @@
     run_state_machine_as_test,
 )
 
+from relay.crashes import SECOND, Gateway
 from verbenamux_contracts.clock import ManualClock
 from verbenamux_relay.quarantine import (
     FIRST_PROBE_WAIT,
     MAX_CRASHES,
     PROBE_WAIT_FACTOR,
-    Quarantine,
 )
 from verbenamux_relay.terms import PromptPart, RequestTerms
 
-SECOND = timedelta(seconds=1)
 GATEWAYS = st.sampled_from(range(3))
 SMALL = settings(max_examples=60, stateful_step_count=30, deadline=None)
 
@@ -38,14 +37,8 @@
     )
 
 
-def quarantine(clock, *, is_first=True):
-    return Quarantine(
-        clock.elapsed, lambda: SECOND, lambda: is_first, lambda *_, **__: None
-    )
-
-
 def settled(clock, **fields):
-    made = quarantine(clock, **fields)
+    made = Gateway(clock, **fields)
     clock.advance(SECOND)
     return made
 
@@ -53,7 +46,7 @@
 def convict(target, part='dead', workspaces=('w', 'w')):
     for number, workspace in enumerate(workspaces):
         target.record_answer(terms('a'))
-        target.record_crash(f'{part}{number}', workspace, terms('a', part))
+        target.crash(f'{part}{number}', workspace, terms('a', part))
 
 
 class Fleet(RuleBasedStateMachine):
@@ -76,7 +69,7 @@
 
     @rule(number=GATEWAYS)
     def restart(self, number):
-        self.by_number[number] = quarantine(self.clock, is_first=not number)
+        self.by_number[number] = Gateway(self.clock, is_first=not number)
         for part, verdict in self.stored.items():
             self.by_number[number].adopt_stored(part, verdict)
 
@@ -91,7 +84,18 @@
         deadly = self.deadly()
         if gateway.blocked_parts('w', deadly) is None:
             self.crash_count += 1
-            gateway.record_crash(str(self.crash_count), 'w', deadly)
+            gateway.crash(str(self.crash_count), 'w', deadly)
+
+    @rule(number=GATEWAYS, is_answered=st.booleans())
+    def cut_what_waits(self, number, is_answered):
+        """A sound request is cut beside another one's crash."""
+        gateway = self.by_number[number]
+        waiting = terms('a', request_id=f'waiting{next(NUMBERS)}')
+        gateway.record_answer(terms('a'))
+        gateway.crash(str(self.crash_count), 'w', waiting, is_unanswered=True)
+        if is_answered:
+            gateway.record_answer(waiting)
+        gateway.record_unanswered_end(waiting.request_id)
 
     @rule(sender=GATEWAYS, receiver=GATEWAYS)
     def report(self, sender, receiver):
@@ -119,6 +123,7 @@
             crash.crash_id
             for gateway in self.by_number.values()
             for crash in gateway.evidence().crashes
+            if not crash.is_unanswered
         }
         for sender in (0, 1, 2, 0, 1, 2):
             for receiver in self.by_number.keys() - {sender}:
@@ -151,7 +156,7 @@
     convict(target)
     assert target.blocked_parts('w', terms('a', 'dead')) == 'dead'
     assert target.blocked_parts('other', terms('a', 'dead')) is None
-    target.record_crash('later', 'other', terms('a', 'dead'))
+    target.crash('later', 'other', terms('a', 'dead'))
     assert target.blocked_parts('third', terms('a', 'dead')) == 'dead'
 
 
@@ -159,18 +164,16 @@
     """It sends deadly requests of its own beside the other one's part."""
     target = settled(ManualClock())
     for number in range(10):
-        target.record_crash(
-            str(number), 'attacker', terms('victim', f'dead{number}')
-        )
+        target.crash(str(number), 'attacker', terms('victim', f'dead{number}'))
     assert target.blocked_parts('w', terms('victim')) is None
 
 
 def test_a_crash_with_two_suspects_is_attributed_by_the_next_one():
     target = settled(ManualClock())
-    target.record_crash('1', 'w', terms('b'))
-    target.record_crash('1', 'w', terms('a', 'dead'))
+    target.crash('1', 'w', terms('b'))
+    target.crash('1', 'w', terms('a', 'dead'))
     target.record_answer(terms('a'))
-    target.record_crash('2', 'w', terms('a', 'dead'))
+    target.crash('2', 'w', terms('a', 'dead'))
     assert target.blocked_parts('w', terms('dead')) == 'dead'
     assert target.blocked_parts('w', terms('a', 'b')) is None
 
@@ -179,8 +182,8 @@
     """Each crash was put down to the workspace of the first request alone."""
     finder, other = settled(ManualClock()), settled(ManualClock())
     for number in '12':
-        finder.record_crash(number, 'sound', terms('a', f'b{number}'))
-        finder.record_crash(number, 'w', terms('a', 'dead'))
+        finder.crash(number, 'sound', terms('a', f'b{number}'))
+        finder.crash(number, 'w', terms('a', 'dead'))
         finder.record_answer(terms('a'))
     other.handle_evidence('finder', finder.evidence())
     for gateway in (finder, other):
@@ -201,10 +204,10 @@
             for _ in range(150):
                 clock.advance(timedelta(milliseconds=10))
                 gateway.record_answer(terms('popular'))
-        gateways[number % 2].record_crash(
+        gateways[number % 2].crash(
             f'{number}', 'w', terms('popular', f'session{number}')
         )
-        gateways[number % 2].record_crash(f'{number}-2', 'w', terms('popular'))
+        gateways[number % 2].crash(f'{number}-2', 'w', terms('popular'))
         for _ in range(2):
             second.handle_evidence('first', first.evidence())
             first.handle_evidence('second', second.evidence())
@@ -213,9 +216,9 @@
 
 
 def test_invented_parts_fill_no_table():
-    target = quarantine(ManualClock())
+    target = Gateway(ManualClock())
     for number in range(MAX_CRASHES * 3):
-        target.record_crash(str(number), 'w', terms(f'part{number}'))
+        target.crash(str(number), 'w', terms(f'part{number}'))
         target.record_answer(terms(f'answered{number}'))
     assert len(target.evidence().crashes) == MAX_CRASHES
     assert len(target.evidence().answers) <= MAX_CRASHES
@@ -228,7 +231,7 @@
     ((part, verdict),) = target.unsaved()
     target.adopt_stored(part, verdict)
     assert not tuple(target.unsaved())
-    restarted = quarantine(clock)
+    restarted = Gateway(clock)
     restarted.adopt_stored(part, verdict)
     assert restarted.blocked_parts('w', terms('dead')) == 'dead'
 
@@ -237,7 +240,7 @@
     clock = ManualClock()
     finder = settled(clock)
     convict(finder)
-    first, other = quarantine(clock), quarantine(clock, is_first=False)
+    first, other = Gateway(clock), Gateway(clock, is_first=False)
     for gateway in (first, other):
         gateway.handle_evidence('finder', finder.evidence())
     assert not tuple(first.unsaved())
@@ -269,7 +272,7 @@
     assert not probe(target, 'second')
     target.record_answer(terms('dead', request_id='probe'))
     assert probe(target, 'third')
-    follower = quarantine(clock)
+    follower = Gateway(clock)
     follower.handle_evidence('target', target.evidence())
     assert probe(follower, 'fourth')
 
@@ -278,7 +281,7 @@
     clock, target = convicted
     clock.advance(FIRST_PROBE_WAIT)
     assert probe(target, 'probe')
-    target.record_crash('probed', 'w', terms('dead'))
+    target.crash('probed', 'w', terms('dead'))
     clock.advance(FIRST_PROBE_WAIT * PROBE_WAIT_FACTOR - SECOND)
     assert not probe(target, 'early')
     clock.advance(SECOND)
@@ -306,8 +309,8 @@
 def test_a_request_that_came_again_convicts_no_part_that_others_share():
     """Issue 47: it met two crashes, and its session's others were refused."""
     target = settled(ManualClock())
-    target.record_crash('1', 'w', alike('first'))
-    target.record_crash('2', 'w', alike('again'))
+    target.crash('1', 'w', alike('first'))
+    target.crash('2', 'w', alike('again'))
     assert target.blocked_parts('w', terms('a', 'session')) is None
 
 
@@ -317,7 +320,7 @@
     first, second, third = (settled(clock) for _ in range(3))
     for gateway, crash_id in ((first, '1'), (second, '2')):
         gateway.record_answer(terms('a', 'session'))
-        gateway.record_crash(crash_id, 'w', alike(crash_id))
+        gateway.crash(crash_id, 'w', alike(crash_id))
         assert gateway.blocked_parts('w', alike('x')) is None
     for receiver in (first, second, third):
         receiver.handle_evidence('first', first.evidence())
@@ -331,8 +334,8 @@
     target = settled(ManualClock())
     for _ in range(10):
         target.record_answer(alike('sound'))
-    target.record_crash('1', 'w', alike('first'))
-    target.record_crash('2', 'w', alike('again'))
+    target.crash('1', 'w', alike('first'))
+    target.crash('2', 'w', alike('again'))
     assert target.blocked_parts('w', alike('third')) is None
 
 
@@ -342,7 +345,7 @@
     target, other = settled(clock), settled(clock)
     for crash_id in '12':
         clock.advance(SECOND)
-        target.record_crash(crash_id, 'w', alike(crash_id))
+        target.crash(crash_id, 'w', alike(crash_id))
     other.handle_evidence('target', target.evidence())
     clock.advance(FIRST_PROBE_WAIT)
     assert target.blocked_parts('w', alike('probe')) is None
@@ -360,6 +363,46 @@
     target = settled(ManualClock())
     for crash_id in '123':
         assert target.blocked_parts('w', alike('again')) is None
-        target.record_crash(crash_id, 'w', alike('again'), has_event=True)
+        target.crash(crash_id, 'w', alike('again'), has_event=True)
     assert target.blocked_parts('w', alike('again')) is not None
     assert target.blocked_parts('w', terms('a', 'session')) is None
+
+
+def test_requests_cut_without_a_byte_and_answered_elsewhere_convict_nothing():
+    """They waited at targets that crashed under others."""
+    target = settled(ManualClock())
+    for number in range(20):
+        target.clock.advance(SECOND)
+        waiting = terms('a', 'rare', request_id=f'r{number}')
+        target.crash(f'{number}', 'w', waiting, is_unanswered=True)
+        target.record_answer(waiting)
+        target.record_unanswered_end(waiting.request_id)
+    assert target.blocked_parts('w', terms('a', 'rare')) is None
+
+
+def test_requests_cut_without_a_byte_and_never_answered_convict_their_part():
+    """Some have no other target: one end each is half the evidence."""
+    finder, other = settled(ManualClock()), settled(ManualClock())
+    for number in range(4):
+        assert other.blocked_parts('w', terms('dead')) is None
+        finder.clock.advance(SECOND)
+        other.clock.advance(SECOND)
+        finder.record_answer(terms('a'))
+        deadly = terms('a', 'dead', request_id=f'r{number}')
+        finder.crash(f'{number}', 'w', deadly, is_unanswered=True)
+        finder.record_unanswered_end(deadly.request_id)
+        other.handle_evidence('finder', finder.evidence())
+    for gateway in (finder, other):
+        assert gateway.blocked_parts('w', terms('a', 'dead')) == 'dead'
+        assert gateway.blocked_parts('w', terms('a')) is None
+
+
+def test_a_caller_that_leaves_a_cut_request_convicts_nothing():
+    target = settled(ManualClock())
+    for number in range(20):
+        target.clock.advance(SECOND)
+        left = terms('rare', request_id=f'r{number}')
+        target.crash(f'{number}', 'w', left, is_unanswered=True)
+        target.record_withdrawal(left.request_id)
+        target.record_unanswered_end(left.request_id)
+    assert target.blocked_parts('w', terms('rare')) is None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -61,7 +61,9 @@
         for _ in range(random.randint(MIN_FAULTS, MAX_FAULTS))
     ]
     if seed >= FIRST_SEED_WITH_POISON:
-        steps.append(Step(FIRST_FAULT_SECONDS, 0, 'poison', KEEPERS[0]))
+        is_mute = seed >= FIRST_SEED_WITH_MUTE_POISON
+        kind = 'mute_poison' if is_mute else 'poison'
+        steps.append(Step(FIRST_FAULT_SECONDS, 0, kind, KEEPERS[0]))
     if seed >= FIRST_SEED_WITH_REFUSALS:
         steps.extend(
             _draw_step(random, REFUSING_NAMES_BY_KIND)
@@ -311,10 +313,11 @@
     return ((step.name, False),)
 
 
-def poison(injector, step):
+def poison(injector, step, *, is_mute=False):
     """Let a part of prompts crash the engines that begin to answer it."""
     world = injector.world
     for name in KEEPERS:
+        world.targets[name].is_crash_mute = is_mute
         world.targets[name].on_deadly = partial(
             crash, injector, Step(step.at, DOWN_SECONDS, 'crash', name)
         )
@@ -444,6 +447,8 @@
 FIRST_SEED_WITH_REFUSALS = 9000
 # From this seed on a part of prompts crashes engines, beside the faults drawn.
 FIRST_SEED_WITH_POISON = 5000
+# From this one on they end before any byte of the answer.
+FIRST_SEED_WITH_MUTE_POISON = 10_000
 ACTIONS: dict[str, Callable] = {
     'pause': pause,
     'kill': kill,
@@ -467,6 +472,7 @@
     'withdraw': withdraw,
     'move': move,
     'poison': poison,
+    'mute_poison': partial(poison, is_mute=True),
     'refuse': degrade(MIN_REFUSING_SECONDS, refuse_share=0.5, hold_share=0.3),
     'late': degrade(slow=LATE_SECONDS),
     'copy': degrade(MIN_REFUSING_SECONDS, refuse_share=0.5, copy_share=0.5),
