--- a/libs/contracts/src/verbenamux_contracts/log.py
+++ b/libs/contracts/src/verbenamux_contracts/log.py
@@ -41,13 +41,15 @@
     """Consecutive record bodies that start at an offset.
 
     `next_offset` follows the last record of the batch; `end_offset` follows
-    the last record of the log.
+    the last record of the log. `era` rises each time the log loses its newest
+    records: offsets of different eras have nothing in common.
     """
 
     first_offset: int
     next_offset: int
     bodies: tuple[bytes, ...]
     end_offset: int = 0
+    era: int = 0
 
     @property
     def reaches_end(self) -> bool:
--- a/libs/contracts/src/verbenamux_contracts/messages.py
+++ b/libs/contracts/src/verbenamux_contracts/messages.py
@@ -559,7 +559,8 @@
 
     `found` is false when the read failed or the offset is no longer stored.
     `fresh` is true when the read began after the request arrived; otherwise
-    `late_ms` is how long before it the read began, None if unknown.
+    `late_ms` is how long before it the read began, None if unknown. `era` is
+    that of the records.
     """
 
     ask_id: str
@@ -567,6 +568,7 @@
     fresh: bool = False
     records: tuple[bytes, ...] = ()
     late_ms: int | None = None
+    era: int = 0
 
 
 RelayMessage: TypeAlias = (
--- a/libs/relay/src/verbenamux_relay/drain_bounds.py
+++ b/libs/relay/src/verbenamux_relay/drain_bounds.py
@@ -50,12 +50,14 @@
 
     `reader` made the read. All records up to `current_at` were known before.
     `failed_at` is the start of the newest failed call while the store, or the
-    network to it, was faulty.
+    network to it, was faulty. `is_restored`: the store lost its newest records,
+    and what it lists may be older than what is known.
     """
 
     reader: str = ''
     current_at: timedelta | None = None
     failed_at: timedelta | None = None
+    is_restored: bool = False
 
 
 def lapse_until(
--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -205,18 +205,24 @@
         entry: TargetEntry,
         update: RegistryUpdate | None = None,
     ) -> None:
-        """Add or update an entry; `update` is how the change became known."""
-        previous = self.routing_state.target_table.by_id.get(entry.target_id)
+        """Add or update an entry; `update` is how the change became known.
+
+        One that left rests first if an older list has it again.
+        """
+        table = self.routing_state.target_table
+        is_restored = update is not None and update.is_restored
+        had_left = is_restored and table.has_left(entry.target_id)
+        previous = table.by_id.get(entry.target_id)
         if (
             previous is not None
             and entry.is_draining > previous.entry.is_draining
         ):
             self._log_leaving('target_draining', entry.target_id, update)
         held_off_until = previous.held_off_until if previous else timedelta()
-        is_new = self.routing_state.target_table.add_or_update(
-            entry, self._clock.elapsed()
-        )
-        target = self.routing_state.target_table.by_id[entry.target_id]
+        is_new = table.add_or_update(entry, self._clock.elapsed())
+        target = table.by_id[entry.target_id]
+        if had_left:
+            target.record_relisted(self._clock.elapsed())
         if held_off_until > max(self._clock.elapsed(), target.held_off_until):
             self._log(
                 'target_hold_ended',
--- a/libs/relay/src/verbenamux_relay/quarantine.py
+++ b/libs/relay/src/verbenamux_relay/quarantine.py
@@ -260,6 +260,11 @@
         if known is not None:
             known.stored = verdict
 
+    def forget_stored(self) -> None:
+        """Record that the store may have lost verdicts that it had."""
+        for known in self._known_by_key.values():
+            known.stored = None
+
     def unsaved(self) -> Iterator[tuple[str, Verdict]]:
         """Yield the verdicts that this gateway is to save in the store."""
         oldest = self._elapsed() - SAVE_TIMEOUT
--- a/libs/relay/src/verbenamux_relay/shared_reads.py
+++ b/libs/relay/src/verbenamux_relay/shared_reads.py
@@ -93,6 +93,7 @@
 class _Topic:
     """The newest records of a topic, and the pending requests for it."""
 
+    era: int = 0
     first_offset: int = 0
     records: deque[bytes] = field(default_factory=deque)
     size: int = 0
@@ -104,7 +105,9 @@
 
     def keep(self, batch: RecordBatch) -> None:
         """Add a batch; one that is not contiguous replaces the kept records."""
-        if batch.first_offset != self.next_offset:
+        is_next = batch.first_offset == self.next_offset
+        if not is_next or batch.era != self.era:
+            self.era = batch.era
             self.first_offset = batch.first_offset
             self.records.clear()
             self.size = 0
@@ -132,6 +135,7 @@
             fresh=late is not None and not late,
             records=tuple(self.records)[start:],
             late_ms=None if late is None else to_milliseconds_up(late),
+            era=self.era,
         )
 
 
@@ -227,7 +231,9 @@
             return None
         next_offset = from_offset + len(reply.records)
         return Reading(
-            RecordBatch(from_offset, next_offset, reply.records, next_offset),
+            RecordBatch(
+                from_offset, next_offset, reply.records, next_offset, reply.era
+            ),
             _known_at(asked_at, reply),
             link.address,
         )
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from verbenamux_balancing.target_speed import Pace
@@ -25,6 +25,8 @@
 # A target at whose address another one answers gets no requests for this long;
 # the registry drops its entry after three missed check-ins.
 REPLACED_COOLDOWN = timedelta(seconds=5)
+# The entry of a target that left lapses again after three check-ins.
+RELISTED_COOLDOWN = timedelta(seconds=5)
 # A target is held off for at most this long after one refusal.
 MAX_HOLD_OFF = timedelta(minutes=1)
 # After an evacuation targets count as cold for this long: two check-ins, and
@@ -164,9 +166,15 @@
         self.has_said_leaving = word.has_said_leaving
 
     def update(self, entry: TargetEntry) -> None:
-        """Take a newer entry; its own word ends with its lifetime."""
-        self.entry = entry
+        """Take a newer entry; its own word ends with its lifetime.
+
+        A store that lost records may list it again as it was before it began
+        to leave.
+        """
         is_restarted = 0 < self.started_ms < entry.started_ms
+        if self.entry.is_draining and not is_restarted:
+            entry = replace(entry, is_draining=True)
+        self.entry = entry
         self.started_ms = max(self.started_ms, entry.started_ms)
         if is_restarted:
             self.replaced_until = timedelta()
@@ -255,6 +263,10 @@
         """Record that another target answers at its address."""
         self.replaced_until = now + REPLACED_COOLDOWN
 
+    def record_relisted(self, now: timedelta) -> None:
+        """Record that an older list has it again, though it left since."""
+        self.replaced_until = now + RELISTED_COOLDOWN
+
     def hold_off(self, now: timedelta, wanted: timedelta) -> None:
         """Send it nothing for as long as it wants, within a bound."""
         until = now + min(wanted, MAX_HOLD_OFF)
@@ -369,6 +381,12 @@
         """Return whether a target was removed lately."""
         return target_id in self._removed_ids
 
+    def has_left(self, target_id: str) -> bool:
+        """Return whether a target was removed and not listed again since."""
+        target = self.by_id.get(target_id)
+        is_gone = target is None or target.removed_at is not None
+        return is_gone and self.was_removed(target_id)
+
     def forget(self, target_id: str) -> None:
         """Drop a target, but not its own word: its entry may come back."""
         target = self.by_id.pop(target_id, None)
--- a/libs/standin/src/verbenamux_standin/log.py
+++ b/libs/standin/src/verbenamux_standin/log.py
@@ -4,7 +4,7 @@
 import struct
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import gevent
@@ -16,6 +16,7 @@
     GONE,
     MILLISECONDS_PER_SECOND,
     NOT_FOUND,
+    AnswerLostError,
     Reply,
     Request,
     json_reply,
@@ -45,12 +46,43 @@
         return self.first_offset + len(self.bodies)
 
 
+@dataclass(slots=True)
+class Contents:
+    """All streams of a log; `era` is how often it went back."""
+
+    stream_by_name: defaultdict[str, Stream] = field(
+        default_factory=lambda: defaultdict(Stream)
+    )
+    era: int = 0
+
+    def copy(self) -> 'Contents':
+        """Return a copy to go back to."""
+        copied = Contents(era=self.era)
+        for name, stream in self.stream_by_name.items():
+            copied.stream_by_name[name] = Stream(
+                stream.first_offset,
+                list(stream.bodies),
+                list(stream.arrival_times),
+                newest_by_key=dict(stream.newest_by_key),
+            )
+        return copied
+
+    def go_back(self, earlier: 'Contents') -> None:
+        """Lose all that was appended since a copy."""
+        current = tuple(self.stream_by_name.values())
+        self.stream_by_name = earlier.copy().stream_by_name
+        self.era += 1
+        for stream in current:
+            stream.changed.set()
+
+
 def log_route(
     clock: Clock,
     retention: timedelta,
+    contents: Contents | None = None,
 ) -> Callable[[Request], Reply]:
     """Return the route of a log that keeps records for `retention`."""
-    stream_by_name: dict[str, Stream] = defaultdict(Stream)
+    kept = contents or Contents()
 
     def route(request: Request) -> Reply:
         topic = request.query_by_name.get('topic', '')
@@ -59,10 +91,14 @@
             return json_reply({}, NOT_FOUND)
         if not topic or request.integer('part'):
             return json_reply({'error': 'no such partition'}, BAD_REQUEST)
-        stream = stream_by_name[topic]
+        stream = kept.stream_by_name[topic]
         now = clock.elapsed()
         _expire(stream, now - retention)
-        return handler(stream, request, now)
+        era = kept.era
+        reply = handler(stream, request, now)
+        if kept.era != era:
+            raise AnswerLostError
+        return replace(reply, headers=(*reply.headers, ('Store-Era', str(era))))
 
     return route
 
@@ -107,12 +143,12 @@
 
 def _read(stream: Stream, request: Request, _now: timedelta) -> Reply:
     start = request.integer('from')
-    if start >= stream.end_offset:
+    if start == stream.end_offset:
         stream.changed.wait(
             request.integer('wait_ms') / MILLISECONDS_PER_SECOND
         )
         gevent.sleep(0)
-    if start < stream.first_offset:
+    if not stream.first_offset <= start <= stream.end_offset:
         return json_reply({'first_offset': stream.first_offset}, GONE)
     page = b''.join(_page(stream, start))
     head = READ_HEADER.pack(stream.end_offset, stream.first_offset)
--- a/tests/platform/test_mute_crashes.py
+++ b/tests/platform/test_mute_crashes.py
@@ -21,7 +21,7 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(120)]
 
-SLOT = 18
+SLOT = 23
 GATEWAYS = tuple(f'gateway-{number}' for number in range(1, 5))
 PLAINS = tuple(f'plain-{number}' for number in range(4, 10))
 PER_SECOND = 30
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -7,6 +7,7 @@
 
 from verbenamux_relay.target_selection import is_serving
 from verbenamux_relay.targets import (
+    RELISTED_COOLDOWN,
     REPLACED_COOLDOWN,
     SUSPECT_TIMEOUT,
     InFlight,
@@ -145,3 +146,26 @@
     table.forget('a')
     table.add_or_update(entry('a', 2000), NOW)
     assert own_word(table) == (False, False)
+
+
+def test_a_target_that_leaves_goes_on_leaving_in_an_older_list():
+    """The store came back from a copy in which it was ready."""
+    target_table = TargetTable()
+    target_table.add_or_update(entry('a', 1000), NOW)
+    target_table.add_or_update(replace(entry('a', 1000), is_draining=True), NOW)
+    target_table.add_or_update(entry('a', 1000), NOW)
+    assert not serving(target_table)
+    target_table.add_or_update(entry('a', 2000), NOW)
+    assert serving(target_table) == {'a'}
+
+
+def test_a_target_that_left_rests_when_an_older_list_has_it_again():
+    target_table = TargetTable()
+    target_table.add_or_update(entry('a', 1000), NOW)
+    assert not target_table.has_left('a')
+    target_table.mark_removed('a', NOW, NOW)
+    assert target_table.has_left('a')
+    target_table.add_or_update(entry('a', 1000), NOW)
+    target_table.by_id['a'].record_relisted(NOW)
+    assert not serving(target_table)
+    assert serving(target_table, NOW + RELISTED_COOLDOWN) == {'a'}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,6 +38,8 @@
 # A late answer is this much slower: 1.5 objectives.
 LATE_SECONDS = 1.5 * OBJECTIVE_MS_BY_KIND['look'] / 1000
 SERIES_PAUSE_SECONDS = 0.3
+# How long the store is away before it comes back from a copy.
+AWAY_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,8 @@
         is_mute = seed >= FIRST_SEED_WITH_MUTE_POISON
         kind = 'mute_poison' if is_mute else 'poison'
         steps.append(Step(FIRST_FAULT_SECONDS, 0, kind, KEEPERS[0]))
+    if seed >= FIRST_SEED_WITH_ROLLBACKS:
+        steps.append(_draw_step(random, {'store_goes_back': ('store',)}))
     if seed >= FIRST_SEED_WITH_REFUSALS:
         steps.extend(
             _draw_step(random, REFUSING_NAMES_BY_KIND)
@@ -223,6 +227,18 @@
     return (('store', False),)
 
 
+def store_goes_back(injector, step):
+    """Make the store come back from an older copy of itself."""
+    world = injector.world
+    earlier, put_count = world.contents.copy(), len(world.puts)
+    gevent.sleep(step.seconds)
+    world.faults.down = True
+    gevent.sleep(AWAY_SECONDS)
+    world.go_back(earlier, put_count)
+    world.faults.down = False
+    return (('store', False),)
+
+
 def store_refuses(injector, step):
     """Make the store refuse one host and serve the others."""
     faults = injector.world.faults
@@ -447,6 +463,8 @@
     'series': GATEWAYS,
 }
 FIRST_SEED_WITH_REFUSALS = 9000
+# From this one on the store comes back once from an older copy.
+FIRST_SEED_WITH_ROLLBACKS = 11_000
 # From this seed on a part of prompts crashes engines, beside the faults drawn.
 FIRST_SEED_WITH_POISON = 5000
 # From this one on they end before any byte of the answer.
@@ -460,6 +478,7 @@
     'store_slow': store_slow,
     'store_loses': store_loses,
     'store_forgets': store_forgets,
+    'store_goes_back': store_goes_back,
     'store_refuses': store_refuses,
     'store_acts_late': store_acts_late,
     'cut': cut_line('lines'),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,7 +24,7 @@
 from verbenamux_http.errors import ExchangeFailure
 from verbenamux_http.headers import Headers
 from verbenamux_platform.store import RECORD_LENGTH, keyed_record
-from verbenamux_standin.log import log_route
+from verbenamux_standin.log import Contents, log_route
 from verbenamux_standin.relay import Cuts, Line, Relay
 from verbenamux_standin.web import Faults, Request, make_application
 
@@ -101,6 +101,8 @@
         self.programs = {}
         self.beating = None
         self.pool = ConnectionPool(self.clock.elapsed)
+        self.contents = Contents()
+        self.puts = []
 
     def now(self):
         return self.clock.elapsed().total_seconds()
@@ -142,7 +144,7 @@
             self.write_settings(name, is_first_start=False)
 
     def start_store(self):
-        self.route_store = log_route(self.clock, LOG_RETENTION)
+        self.route_store = log_route(self.clock, LOG_RETENTION, self.contents)
         application = make_application(self.route_store, self.faults)
         address = (f'{self.net}.9.1', STORE_PORT)
         self.store_server = WSGIServer(
@@ -205,6 +207,11 @@
         """Write a record as the platform would; return when it was stored."""
         encoded = b'' if value is None else json.dumps(value).encode()
         record = keyed_record(key, encoded)
+        self.puts.append((topic, record))
+        self.append(topic, record)
+        return self.now()
+
+    def append(self, topic, record):
         # Faults do not affect writes of the operator and the targets.
         self.call_store(
             'POST',
@@ -212,7 +219,15 @@
             topic,
             RECORD_LENGTH.pack(len(record)) + record,
         )
-        return self.now()
+
+    def go_back(self, earlier, put_count):
+        """Lose what the store got since a copy of it was made.
+
+        What the operator and the targets wrote since is written again.
+        """
+        self.contents.go_back(earlier)
+        for topic, record in self.puts[put_count:]:
+            self.append(topic, record)
 
     def call_store(self, method, path, topic, body=b'', **query):
         """Call the store directly, bypassing its faults."""
