--- a/libs/relay/src/verbenamux_relay/gateway.py
+++ b/libs/relay/src/verbenamux_relay/gateway.py
@@ -35,7 +35,12 @@
 from verbenamux_relay.quarantine import Quarantine
 from verbenamux_relay.stopping import StopPlan
 from verbenamux_relay.target_selection import RoutingState, holdings, is_serving
-from verbenamux_relay.targets import Target, TargetEntry, TargetReport
+from verbenamux_relay.targets import (
+    RELISTED_COOLDOWN,
+    Target,
+    TargetEntry,
+    TargetReport,
+)
 from verbenamux_relay.usage import Usage
 from verbenamux_runtime.metrics import Metrics
 from verbenamux_runtime.peers import PeerServer
@@ -223,6 +228,11 @@
         target = table.by_id[entry.target_id]
         if had_left:
             target.record_relisted(self._clock.elapsed())
+            self._log(
+                'target_relisted',
+                target=entry.target_id,
+                rest_ms=to_milliseconds(RELISTED_COOLDOWN),
+            )
         if held_off_until > max(self._clock.elapsed(), target.held_off_until):
             self._log(
                 'target_hold_ended',
--- a/libs/relay/src/verbenamux_relay/targets.py
+++ b/libs/relay/src/verbenamux_relay/targets.py
@@ -172,7 +172,8 @@
         to leave.
         """
         is_restarted = 0 < self.started_ms < entry.started_ms
-        if self.entry.is_draining and not is_restarted:
+        is_same_lifetime = 0 < entry.started_ms <= self.started_ms
+        if self.entry.is_draining and is_same_lifetime:
             entry = replace(entry, is_draining=True)
         self.entry = entry
         self.started_ms = max(self.started_ms, entry.started_ms)
