--- a/tests/soak/test_checking.py
+++ b/tests/soak/test_checking.py
@@ -189,8 +189,17 @@
     assert draw(7) != draw(8)
     drawn_kinds = NAMES_BY_KIND.keys() | ADDED_NAMES_BY_KIND.keys()
     added_kinds = REFUSING_NAMES_BY_KIND.keys()
-    assert ACTIONS.keys() == drawn_kinds | added_kinds | {'poison'}
-    assert 'poison' in {step.kind for step in draw(5000)}
+    kind_by_seed = {
+        5000: 'poison',
+        10_000: 'mute_poison',
+        11_000: 'store_goes_back',
+    }
+    assert ACTIONS.keys() == drawn_kinds | added_kinds | {
+        *kind_by_seed.values()
+    }
+    for seed, kind in kind_by_seed.items():
+        assert kind in {step.kind for step in draw(seed)}
+        assert kind not in {step.kind for step in draw(seed - 1)}
     assert added_kinds & {step.kind for step in draw(9000)}
     assert not added_kinds & {step.kind for step in draw(8999)}
 
