--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -9,8 +9,10 @@
 import json
 import os
 import shlex
+import shutil
 import signal
 import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -358,7 +360,6 @@
             service=service, **more))
 
     def start(self, name, role, settings):
-        import subprocess
         path = self.temporary / f'{name}.json'
         path.write_text(json.dumps(settings))
         words = shlex.split(self.roles[role]['run'])
@@ -413,6 +414,7 @@
         for server in self.servers:
             await server.unlisten()
         await self.store.unlisten()
+        shutil.rmtree(self.temporary, ignore_errors=True)
 
 
 class Answer:
