Fail an answer without length whose connection broke during its upload

Cause: a socket reports an error once, to whichever task uses it first. The task that writes the body took it and dropped it, on the assumption that the reader sees it too; the reader's next receive then returned an end, as an orderly close does, and an answer without length counts as complete there. Any error of the socket does it: a reset, a close by a peer with unread bytes, and the time-out of unacknowledged bytes.

Change: the error that ended the writing of a body is kept, and the end of the connection then ends no answer. EPIPE is not such an error: Linux reports it for a reset that follows an orderly end, all of the answer has arrived, and the reader gets the end however the two tasks run. Answers with a length or chunks were never complete by an end and are as before.

--- a/libs/http/src/verbenamux_http/client.py
+++ b/libs/http/src/verbenamux_http/client.py
@@ -278,6 +278,7 @@
         self._may_be_reused = True
         self._sent = Event()
         self._sender: Greenlet | None = None
+        self._send_error: OSError | None = None
         if len(outgoing.body) <= MAX_INLINE_BODY_BYTES:
             self._send(outgoing.encoded_head() + outgoing.body, timeout)
             self._sent.set()
@@ -436,8 +437,14 @@
     def _send_body(self, body: bytes) -> None:
         try:
             self._socket.sendall(body)
-        except OSError:
-            # The reader of the answer sees the same broken connection.
+        except BrokenPipeError:
+            # Linux reports a reset this way if an orderly end precedes it:
+            # the answer may be complete.
+            return
+        except OSError as error:
+            # A socket reports an error once; to the reader it then looks like
+            # an orderly end.
+            self._send_error = error
             return
         self._sent.set()
 
@@ -469,6 +476,12 @@
             self._parser.feed(received)
             self._yield_to_other_tasks(len(received))
             return
+        self._end_with_connection()
+
+    def _end_with_connection(self) -> None:
+        """End the answer with its connection, if that ended in good order."""
+        if self._send_error is not None:
+            raise _broken_connection(self._send_error)
         self._parser.finish()
         if not self._parser.is_complete:
             raise ExchangeFailure(
@@ -482,6 +495,10 @@
 ) -> ExchangeFailure:
     if isinstance(error, TimeoutError):
         return ExchangeFailure(Fault.TIMED_OUT, f'no answer for {seconds} s')
+    return _broken_connection(error)
+
+
+def _broken_connection(error: OSError) -> ExchangeFailure:
     return ExchangeFailure(Fault.BROKEN, f'connection lost: {error!r}')
 
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import select
 import socket as threads
+import struct
 from dataclasses import replace
 from datetime import timedelta
 from threading import Thread
@@ -324,6 +325,62 @@
     assert target.sees_a_close()
 
 
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nhello'
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+def reset(opened):
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    opened.close()
+
+
+def end(opened):
+    opened.shutdown(socket.SHUT_WR)
+
+
+def end_and_reset(opened):
+    end(opened)
+    reset(opened)
+
+
+def wait_for_acknowledgements(_opened):
+    gevent.sleep(2 * SOON.total_seconds())
+
+
+def read_early_answer(pool, finish):
+    """Return the body of an answer that ends while the upload is written.
+
+    The sender of the upload notices the end before the answer is read.
+    """
+    target = UnreadTarget()
+    connection = pool.take(target.address, SOON)
+    opened = target.accept()
+    exchange = connection.start(post(8_000_000))
+    gevent.sleep(0.05)
+    opened.sendall(UNFRAMED)
+    finish(opened)
+    gevent.sleep(0.05)
+    return exchange.read_body(lambda: SOON)
+
+
+@pytest.mark.parametrize(
+    'break_off', [reset, socket.socket.close, wait_for_acknowledgements]
+)
+def test_an_answer_cut_during_its_upload_looks_complete(
+    pool, break_off, monkeypatch
+):
+    """Issue 55: the sender took the socket's error, the reader saw an end."""
+    monkeypatch.setattr(client, 'ACKNOWLEDGEMENT_TIMEOUT', SOON)
+    with pytest.raises(ExchangeFailure) as raised:
+        read_early_answer(pool, break_off)
+    assert raised.value.fault is Fault.BROKEN
+
+
+@pytest.mark.parametrize('finish', [end, end_and_reset])
+def test_an_answer_that_ends_during_its_upload_is_whole(pool, finish):
+    assert read_early_answer(pool, finish) == b'hello'
+
+
 def test_a_cancelled_send_closes_its_connection(pool):
     """The caller may disconnect while its request is still being sent."""
     target = UnreadTarget()
