Refuse answers whose status code does not exist

Cause: the parser takes any three digits, and nothing behind it checked them. What is below 200 counted as interim: its head was skipped, but its body was queued for the answer to come. What is above 599 counted as a target's own failure.

Change: a status outside 100 to 599 (RFC 9110, section 15) is a malformed answer when its head ends. The caller gets 502, or the answer of another target where the request may be sent again. The failure names the status: an error that is raised in a callback of the parser was replaced by the parser's own.

Statuses 200 to 599 are answers as before (test_any_other_status_is_an_answer).

--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from io import BytesIO
-from typing import Protocol
+from typing import NoReturn, Protocol
 
 import httptools
 
@@ -19,6 +19,8 @@
 BAD_REQUEST = 400
 TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+# RFC 9110, section 15: any other status code is invalid.
+VALID_STATUSES = range(100, 600)
 FIRST_FINAL_STATUS = 200
 VERSION_WITHOUT_CHUNKS = '1.0'
 BODILESS_STATUSES = frozenset((204, 304))
@@ -253,6 +255,7 @@
         self._collector = _HeadCollector()
         self._framing_bytes = 0
         self._made_progress = False
+        self._failure: ExchangeFailure | None = None
 
     def feed(self, received: bytes) -> None:
         """Parse more bytes.
@@ -294,10 +297,7 @@
             httptools.HttpParserUpgrade,
         ) as error:
             if not self.is_complete:
-                raise ExchangeFailure(
-                    Fault.MALFORMED,
-                    f'not an HTTP answer: {error}',
-                ) from error
+                raise self._failure or _malformed(f'{error}') from error
             self.has_surplus = True
 
     def on_message_begin(self) -> None:
@@ -317,8 +317,12 @@
 
     def on_headers_complete(self) -> None:
         """Store the head, unless it is an interim or an extra one."""
+        if self.is_complete:
+            return
         status = self._parser.get_status_code()
-        if self.is_complete or status < FIRST_FINAL_STATUS:
+        if status not in VALID_STATUSES:
+            self._fail(f'status {status:03}')
+        if status < FIRST_FINAL_STATUS:
             return
         headers = Headers(tuple(self._collector.fields))
         is_framed = (
@@ -356,3 +360,12 @@
         if not head.keeps_connection or self.extra_answers >= MAX_EXTRA_ANSWERS:
             return False
         return self.is_extra(head)
+
+    def _fail(self, message: str) -> NoReturn:
+        # The parser replaces what its callbacks raise.
+        self._failure = _malformed(message)
+        raise self._failure
+
+
+def _malformed(message: str) -> ExchangeFailure:
+    return ExchangeFailure(Fault.MALFORMED, f'not an HTTP answer: {message}')
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -127,6 +127,27 @@
     assert parser.is_complete
 
 
+@pytest.mark.parametrize('status', [0, 1, 99, 600, 999])
+@pytest.mark.parametrize('rest', [b'\r\n', b'Content-Length: 4\r\n\r\noops'])
+def test_a_status_that_does_not_exist_is_an_answer(status, rest):
+    """Issue 55: below 100 it was skipped as interim, but not its body."""
+    parser = ResponseParser()
+    with pytest.raises(ExchangeFailure) as raised:
+        parser.feed(b'HTTP/1.1 %03d Odd\r\n%b%b' % (status, rest, ANSWER))
+    assert raised.value.fault is Fault.MALFORMED
+    assert f'{status:03}' in raised.value.message
+    assert parser.head is None
+    assert not parser.pieces
+
+
+@pytest.mark.parametrize('status', [200, 299, 404, 499, 500, 599])
+def test_any_other_status_is_an_answer(status):
+    parser = ResponseParser()
+    parser.feed(ANSWER.replace(b'200', b'%d' % status))
+    assert parser.head.status == status
+    assert parser.is_complete
+
+
 @given(noise=st.binary(min_size=1, max_size=200))
 def test_noise_is_no_whole_answer_or_a_typed_failure(noise):
     parser = ResponseParser()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -129,6 +129,18 @@
     opened.close()
 
 
+def write_once_read(make_answer):
+    """Return a target's way to write some bytes once it read the upload."""
+
+    def answer(opened, request_id, upload):
+        upload.read()
+        opened.sendall(make_answer(request_id))
+        # Until the gateway closes the connection.
+        opened.recv(1)
+
+    return answer
+
+
 def end_in_good_order(opened, request_id, upload):
     opened.sendall(head(request_id) + whole_answer(request_id))
     opened.shutdown(socket.SHUT_WR)
@@ -202,3 +214,26 @@
     statuses, violations = play(world, end_in_good_order)
     assert not violations
     assert statuses.keys() == {200}
+
+
+# Bytes that are no answer, some with a whole answer behind them.
+MALFORMED_ANSWERS = {
+    'status-000': lambda name: framed(name, status='000 Odd'),
+    'status-000-then-200': lambda name: (
+        framed(name, status='000 Odd') + framed(name)
+    ),
+    'bodiless-status-000-then-200': lambda name: (
+        head(name, status='000 Odd') + framed(name)
+    ),
+    'status-600': lambda name: framed(name, status='600 Odd'),
+}
+
+
+@pytest.mark.parametrize(
+    'make_answer', MALFORMED_ANSWERS.values(), ids=MALFORMED_ANSWERS
+)
+def test_what_is_no_answer_reaches_callers(world, make_answer):
+    """Issue 55: MIXED, or a 504 at the end of the caller's time."""
+    statuses, violations = play(world, write_once_read(make_answer))
+    assert not violations
+    assert statuses.keys() == {200, 502}
