Refuse interim answers that have a body

Cause: an interim head was skipped, but its body was queued for the final answer. The parser reads no body of 100, 102 and 103 and fails at its bytes, so only the statuses without a name showed it.

Change: a byte of a body before the final head is a malformed answer. An interim answer that states a length of 0 is skipped as before.

Evidence: without the change 4 of 10 new cases in test_parsing.py and the one among real processes fail, with it none.

--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -346,9 +346,12 @@
 
     def on_body(self, piece: bytes) -> None:
         """Queue a piece of the body."""
-        if not (self.is_complete or self._is_skipping):
-            self.pieces.append(piece)
-            self._made_progress = True
+        if self.is_complete or self._is_skipping:
+            return
+        if self.head is None:
+            self._fail('an interim answer with a body')
+        self.pieces.append(piece)
+        self._made_progress = True
 
     def on_message_complete(self) -> None:
         """Record the end of a final answer."""
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -120,9 +120,11 @@
     assert not parser.is_complete
 
 
-def test_interim_answers_are_skipped():
+@pytest.mark.parametrize('status', [100, 102, 103, 104, 199])
+@pytest.mark.parametrize('length', [b'', b'Content-Length: 0\r\n'])
+def test_interim_answers_are_skipped(status, length):
     parser = ResponseParser()
-    parser.feed(b'HTTP/1.1 100 Continue\r\n\r\n' + ANSWER)
+    parser.feed(b'HTTP/1.1 %d Wait\r\n%b\r\n%b' % (status, length, ANSWER))
     assert parser.head.status == 200
     assert parser.is_complete
 
@@ -140,6 +142,25 @@
     assert not parser.pieces
 
 
+@pytest.mark.parametrize('status', [100, 102, 103, 104, 199])
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'Content-Length: 4\r\n\r\noops',
+        b'Transfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n',
+    ],
+    ids=['length', 'chunks'],
+)
+def test_the_body_of_an_interim_answer_precedes_the_next_body(status, body):
+    """Issue 55: the body of what is skipped was kept, from 104 on."""
+    parser = ResponseParser()
+    with pytest.raises(ExchangeFailure) as raised:
+        parser.feed(b'HTTP/1.1 %d Wait\r\n%b%b' % (status, body, ANSWER))
+    assert raised.value.fault is Fault.MALFORMED
+    assert parser.head is None
+    assert not parser.pieces
+
+
 @pytest.mark.parametrize('status', [200, 299, 404, 499, 500, 599])
 def test_any_other_status_is_an_answer(status):
     parser = ResponseParser()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -225,6 +225,9 @@
     'bodiless-status-000-then-200': lambda name: (
         head(name, status='000 Odd') + framed(name)
     ),
+    'interim-with-body-then-200': lambda name: (
+        framed(name, status='199 Odd') + framed(name)
+    ),
     'status-600': lambda name: framed(name, status='600 Odd'),
 }
 
