Refuse answers of another protocol version

Cause: the parser takes four versions, and nothing behind it checked which. The framing that is then read is that of HTTP/1, whatever the target meant.

Change: the start line is checked as a whole, its version beside its status; 1.0 and 1.1 are answers, as before.

Evidence: without the change 2 of the new cases in test_parsing.py and the one among real processes fail, with it none. What the parser still takes is a start line of RTSP/1.0 or ICE/1.0: it does not tell the protocol's name.

--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -23,6 +23,7 @@
 VALID_STATUSES = range(100, 600)
 FIRST_FINAL_STATUS = 200
 VERSION_WITHOUT_CHUNKS = '1.0'
+ANSWER_VERSIONS = frozenset((VERSION_WITHOUT_CHUNKS, '1.1'))
 BODILESS_STATUSES = frozenset((204, 304))
 # Limit of successive bytes without any byte of a body: heads, interim and
 # extra answers, chunk sizes, trailers. Four times what a caller's head may
@@ -319,9 +320,8 @@
         """Store the head, unless it is an interim or an extra one."""
         if self.is_complete:
             return
+        self._check_start_line()
         status = self._parser.get_status_code()
-        if status not in VALID_STATUSES:
-            self._fail(f'status {status:03}')
         if status < FIRST_FINAL_STATUS:
             return
         headers = Headers(tuple(self._collector.fields))
@@ -359,6 +359,15 @@
             self.is_complete = True
             self._made_progress = True
 
+    def _check_start_line(self) -> None:
+        """Refuse what the parser takes and the protocol does not allow."""
+        version = self._parser.get_http_version()
+        if version not in ANSWER_VERSIONS:
+            self._fail(f'version {version}')
+        status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            self._fail(f'status {status:03}')
+
     def _may_skip(self, head: ResponseHead) -> bool:
         if not head.keeps_connection or self.extra_answers >= MAX_EXTRA_ANSWERS:
             return False
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -169,6 +169,25 @@
     assert parser.is_complete
 
 
+@pytest.mark.parametrize('version', [b'0.0', b'0.9', b'1.2', b'2.0', b'3.0'])
+@pytest.mark.parametrize('status', [100, 200])
+def test_another_version_of_the_protocol_is_an_answer(version, status):
+    """Issue 55: 0.9 and 2.0 were taken."""
+    odd = b'HTTP/%b %d Odd\r\n\r\n' % (version, status)
+    parser = ResponseParser()
+    with pytest.raises(ExchangeFailure) as raised:
+        parser.feed(odd + ANSWER)
+    assert raised.value.fault is Fault.MALFORMED
+    assert parser.head is None
+
+
+def test_an_answer_of_version_1_0_is_an_answer():
+    parser = ResponseParser()
+    parser.feed(ANSWER.replace(b'1.1', b'1.0'))
+    assert parser.is_complete
+    assert not parser.head.keeps_connection
+
+
 @given(noise=st.binary(min_size=1, max_size=200))
 def test_noise_is_no_whole_answer_or_a_typed_failure(noise):
     parser = ResponseParser()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -229,6 +229,7 @@
         framed(name, status='199 Odd') + framed(name)
     ),
     'status-600': lambda name: framed(name, status='600 Odd'),
+    'version-2.0': lambda name: framed(name).replace(b'1.1', b'2.0', 1),
 }
 
 
