Tests: answers with a bad field name, in a head and in a trailer

The parser refuses a name with a blank, a tab, a control byte or a byte from 0x7F on, at its start, inside or at its end, a folded line, a missing name and a missing colon, behind another field or first, with and without a length beside it: 216 cases pass on the code as it was. Among real processes callers get 502, or another target's whole answer, and nothing of the answer: 3 cases.

--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -188,6 +188,55 @@
     assert not parser.head.keeps_connection
 
 
+# A blank, a tab, a control byte or a byte from 0x7F on, wherever it stands; a
+# folded line, no name, no colon.
+BAD_LINES = [
+    *(
+        name + b': 4'
+        for byte in (
+            b' ',
+            b'\t',
+            b'\0',
+            b'\x01',
+            b'\x1f',
+            b'\x7f',
+            b'\x80',
+            b'\xff',
+        )
+        for name in (byte + b'Name', b'Na' + byte + b'me', b'Name' + byte, byte)
+    ),
+    b'Content-Length : 4',
+    b'Transfer-Encoding\t: chunked',
+    b': 4',
+    b'Name',
+]
+
+
+@pytest.mark.parametrize('line', BAD_LINES)
+@pytest.mark.parametrize('fields', [b'', b'Name: field\r\n'])
+@pytest.mark.parametrize('length', [b'', b'Content-Length: 5\r\n'])
+def test_a_bad_name_in_a_head_is_refused(line, fields, length):
+    parser = ResponseParser()
+    with pytest.raises(ExchangeFailure) as raised:
+        parser.feed(
+            b'HTTP/1.1 200 OK\r\n%b%b\r\n%b\r\nhello' % (fields, line, length)
+        )
+    assert raised.value.fault is Fault.MALFORMED
+    assert parser.head is None
+    assert not parser.pieces
+
+
+@pytest.mark.parametrize('line', BAD_LINES)
+@pytest.mark.parametrize('fields', [b'', b'Name: field\r\n'])
+def test_a_bad_name_in_a_trailer_is_refused(line, fields):
+    parser = ResponseParser()
+    parser.feed(CHUNKED_HEAD + b'5\r\nhello\r\n')
+    with pytest.raises(ExchangeFailure) as raised:
+        parser.feed(b'0\r\n%b%b\r\n\r\n' % (fields, line))
+    assert raised.value.fault is Fault.MALFORMED
+    assert not parser.is_complete
+
+
 @given(noise=st.binary(min_size=1, max_size=200))
 def test_noise_is_no_whole_answer_or_a_typed_failure(noise):
     parser = ResponseParser()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -229,6 +229,11 @@
         framed(name, status='199 Odd') + framed(name)
     ),
     'status-600': lambda name: framed(name, status='600 Odd'),
+    'blank-in-name': lambda name: framed(name, 'Odd Name: 1'),
+    'control-byte-in-name': lambda name: framed(name, 'Odd\x01: 1'),
+    'blank-behind-length': lambda name: (
+        head(name, 'Content-Length : 4') + whole_answer(name)
+    ),
     'version-2.0': lambda name: framed(name).replace(b'1.1', b'2.0', 1),
 }
 
