Agent: end no response with a connection that was lost while it was sent

Cause: the HTTP library's client goes on to read a response when sending fails with a reset, since it may have come before. The send had taken the socket's error, so the reader saw an orderly end, which completes a body without length.

Change: calls are sent by the agent's own code over the library's pool, as calls without a retry were already. After a reset the end of the connection is an error; a response with a length or chunks, and one behind whose orderly end the reset came (EPIPE), are answers as before, now of calls without a retry too. Retries of a kept connection that closed are those of the library: of idempotent methods, up to the pool's size.

--- a/libs/agent/src/verbenamux_agent/target.py
+++ b/libs/agent/src/verbenamux_agent/target.py
@@ -6,15 +6,12 @@
 from typing import Any
 
 import msgspec
-from geventhttpclient import HTTPClient
+from geventhttpclient.client import IDEMPOTENT_METHODS
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import (
-    HTTPConnectionClosed,
-    HTTPParseError,
-    HTTPSocketPoolResponse,
-)
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 from returns.result import Failure, Result, Success
 
+from verbenamux_agent.target_response import TargetResponse
 from verbenamux_contracts.errors import Run
 
 OK = 200
@@ -103,13 +100,7 @@
         host, _, port = address.rpartition(':')
         self._host = host
         self._port = int(port)
-        self._client = HTTPClient(
-            self._host,
-            self._port,
-            connection_timeout=CONNECT_TIMEOUT.total_seconds(),
-            network_timeout=READ_TIMEOUT.total_seconds(),
-            concurrency=connections,
-        )
+        self._pool = self._make_pool(connections)
 
     def open(self, call: Call) -> Result[Any, TargetFailure]:
         """Send a call and return its response with the body unread.
@@ -124,37 +115,65 @@
             return Failure(TargetFailure(repr(error), Run.UNKNOWN))
         return Success(response)
 
-    def _send(self, call: Call) -> Any:
+    def _send(self, call: Call) -> TargetResponse:
         if call.no_retry:
-            return self._send_without_retry(call)
-        return self._client.request(
+            return self._send_once(call, self._make_pool(1))
+        # A kept connection may close as a call is sent.
+        retries_left = 0
+        if call.method in IDEMPOTENT_METHODS:
+            retries_left = self._pool.size + 1
+        while retries_left:
+            try:
+                return self._send_once(call, self._pool)
+            except HTTPConnectionClosed:
+                retries_left -= 1
+        return self._send_once(call, self._pool)
+
+    def _send_once(self, call: Call, pool: ConnectionPool) -> TargetResponse:
+        """Send a call; the response may have come before all was sent."""
+        connection = pool.get_socket()
+        try:
+            is_connection_lost = self._send_bytes(connection, call)
+        except BaseException:
+            pool.release_socket(connection)
+            raise
+        return TargetResponse(
+            connection,
+            pool,
             call.method,
-            call.path,
-            call.body,
-            dict(call.headers),
+            is_connection_lost=is_connection_lost,
         )
 
-    def _send_without_retry(self, call: Call) -> Any:
-        """Send over a separate connection, without the pool's retries."""
-        pool = ConnectionPool(
+    def _send_bytes(self, connection: Any, call: Call) -> bool:
+        """Return whether an error ended the connection meanwhile."""
+        try:
+            connection.sendall(self._encode(call))
+        except BrokenPipeError:
+            # Linux reports a reset this way if an orderly end precedes it:
+            # the response may be complete.
+            return False
+        except ConnectionResetError:
+            return True
+        return False
+
+    def _make_pool(self, size: int) -> ConnectionPool:
+        return ConnectionPool(
             self._host,
             self._port,
             self._host,
             self._port,
-            size=1,
+            size=size,
             connection_timeout=CONNECT_TIMEOUT.total_seconds(),
             network_timeout=READ_TIMEOUT.total_seconds(),
         )
-        connection = pool.get_socket()
-        connection.sendall(self._encode(call))
-        return HTTPSocketPoolResponse(connection, pool, method=call.method)
 
     def _encode(self, call: Call) -> bytes:
         lines = [f'{call.method} {call.path} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in call.headers)
         lines.append(f'host: {self._host}:{self._port}')
         lines.append(f'content-length: {len(call.body)}')
-        lines.append('connection: close')
+        if call.no_retry:
+            lines.append('connection: close')
         head = '\r\n'.join(lines)
         return f'{head}\r\n\r\n'.encode('latin-1') + call.body
 
