Agent: refuse responses that are none in the protocol

Behind a HEAD, the bytes of an interim body were dropped and the final answer was waited for.

Change: the agent's response checks its head with the same function as verbenamux_http, and fails at a body of an interim response. Field names with a blank or a control byte were refused before, and have tests.

--- a/libs/agent/src/verbenamux_agent/target_response.py
+++ b/libs/agent/src/verbenamux_agent/target_response.py
@@ -1,16 +1,25 @@
-"""Responses of a target."""
+"""Responses of a target, checked as they are parsed."""
 
 from typing import Any
 
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import (
     HTTPConnectionClosed,
+    HTTPParseError,
     HTTPSocketPoolResponse,
 )
 
+from verbenamux_http.parsing import FIRST_FINAL_STATUS, start_line_fault
+
+PROTOCOL_PREFIX = 'HTTP/'
+
 
 class TargetResponse(HTTPSocketPoolResponse):
-    """A response that a lost connection does not complete."""
+    """A response that raises HTTPParseError where it is not valid.
+
+    Beyond what the parser checks, that is a status code or a version that
+    does not exist, and the body of an interim response.
+    """
 
     def __init__(
         self,
@@ -33,3 +42,19 @@
         if self._is_connection_lost and not received:
             raise HTTPConnectionClosed('the connection was lost')
         super().feed(received)
+
+    def _on_headers_complete(self) -> Any:
+        version = self.get_http_version().removeprefix(PROTOCOL_PREFIX)
+        fault = start_line_fault(version, self.status_code)
+        if fault is not None:
+            raise HTTPParseError(fault)
+        is_bodiless = super()._on_headers_complete()
+        if self.status_code < FIRST_FINAL_STATUS:
+            # Bytes behind the final answer to a HEAD are dropped, not these.
+            self._message_ended_in_skip_body = False
+        return is_bodiless
+
+    def _on_body(self, piece: bytearray) -> None:
+        if self.status_code < FIRST_FINAL_STATUS:
+            raise HTTPParseError('an interim response with a body')
+        super()._on_body(piece)
--- a/libs/http/src/verbenamux_http/parsing.py
+++ b/libs/http/src/verbenamux_http/parsing.py
@@ -80,6 +80,18 @@
         """Return the limits."""
 
 
+def start_line_fault(version: str, status: int) -> str | None:
+    """Return what is invalid in an answer's start line, or None.
+
+    Parsers take more versions than those of HTTP/1, and any three digits.
+    """
+    if version not in ANSWER_VERSIONS:
+        return f'version {version}'
+    if status not in VALID_STATUSES:
+        return f'status {status:03}'
+    return None
+
+
 class _HeadCollector:
     """Collects the fields of the message being parsed."""
 
@@ -320,8 +332,10 @@
         """Store the head, unless it is an interim or an extra one."""
         if self.is_complete:
             return
-        self._check_start_line()
         status = self._parser.get_status_code()
+        fault = start_line_fault(self._parser.get_http_version(), status)
+        if fault is not None:
+            self._fail(fault)
         if status < FIRST_FINAL_STATUS:
             return
         headers = Headers(tuple(self._collector.fields))
@@ -359,15 +373,6 @@
             self.is_complete = True
             self._made_progress = True
 
-    def _check_start_line(self) -> None:
-        """Refuse what the parser takes and the protocol does not allow."""
-        version = self._parser.get_http_version()
-        if version not in ANSWER_VERSIONS:
-            self._fail(f'version {version}')
-        status = self._parser.get_status_code()
-        if status not in VALID_STATUSES:
-            self._fail(f'status {status:03}')
-
     def _may_skip(self, head: ResponseHead) -> bool:
         if not head.keeps_connection or self.extra_answers >= MAX_EXTRA_ANSWERS:
             return False
--- a/tests/agent/test_target.py
+++ b/tests/agent/test_target.py
@@ -14,6 +14,7 @@
     TargetClient,
     read_chunks,
 )
+from verbenamux_contracts.errors import Run
 
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\ndone'
@@ -82,6 +83,36 @@
     return response.status_code, b''.join(read_chunks(response))
 
 
+@RETRIES
+@pytest.mark.parametrize(
+    'answer',
+    [
+        DONE.replace(b'200', b'000') + DONE,
+        b'HTTP/1.1 000 Odd\r\n\r\n' + DONE,
+        DONE.replace(b'200', b'099'),
+        DONE.replace(b'200', b'199') + DONE,
+        DONE.replace(b'200', b'600'),
+        DONE.replace(b'1.1', b'0.9'),
+        DONE.replace(b'1.1', b'2.0'),
+    ],
+)
+@pytest.mark.parametrize('method', ['POST', 'HEAD'])
+def test_what_is_no_answer_is_taken_for_one(answer, method, no_retry):
+    """Issue 55: interim ones were skipped but for their body, others taken."""
+    target = Target(*[answer] * 9)
+    with gevent.Timeout(3):
+        opened = target.client.open(Call(method, '/', no_retry=no_retry))
+    assert not is_successful(opened)
+    assert opened.failure().run is Run.UNKNOWN
+
+
+@RETRIES
+@pytest.mark.parametrize('line', [b'A B: 1', b'A\x01: 1', b'A : 1', b'A'])
+def test_a_bad_field_name_is_refused(line, no_retry):
+    answer = DONE.replace(b'\r\n\r\n', b'\r\n%b\r\n\r\n' % line)
+    assert not is_successful(post(Target(answer), no_retry))
+
+
 @RETRIES
 def test_a_part_is_taken_for_an_answer_that_ends_with_its_connection(no_retry):
     """Issue 55: the connection was reset during the upload."""
