--- a/libs/agent/src/verbenamux_agent/target.py
+++ b/libs/agent/src/verbenamux_agent/target.py
@@ -1,6 +1,7 @@
 """HTTP client for the target of the agent."""
 
 from collections.abc import Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -119,14 +120,10 @@
         if call.no_retry:
             return self._send_once(call, self._make_pool(1))
         # A kept connection may close as a call is sent.
-        retries_left = 0
-        if call.method in IDEMPOTENT_METHODS:
-            retries_left = self._pool.size + 1
-        while retries_left:
-            try:
+        is_repeatable = call.method in IDEMPOTENT_METHODS
+        for _ in range(self._pool.size + 1 if is_repeatable else 0):
+            with suppress(HTTPConnectionClosed):
                 return self._send_once(call, self._pool)
-            except HTTPConnectionClosed:
-                retries_left -= 1
         return self._send_once(call, self._pool)
 
     def _send_once(self, call: Call, pool: ConnectionPool) -> TargetResponse:
--- a/libs/agent/src/verbenamux_agent/target_response.py
+++ b/libs/agent/src/verbenamux_agent/target_response.py
@@ -50,7 +50,7 @@
             raise HTTPParseError(fault)
         is_bodiless = super()._on_headers_complete()
         if self.status_code < FIRST_FINAL_STATUS:
-            # Bytes behind the final answer to a HEAD are dropped, not these.
+            # The base class drops what follows a head that answers a HEAD.
             self._message_ended_in_skip_body = False
         return is_bodiless
 
--- a/tests/agent/test_target.py
+++ b/tests/agent/test_target.py
@@ -1,7 +1,5 @@
 """Answers of an agent's target that are early, broken off or malformed."""
 
-import struct
-
 import gevent
 import pytest
 from gevent import socket
@@ -15,12 +13,12 @@
     read_chunks,
 )
 from verbenamux_contracts.errors import Run
+from verbenamux_http.client import RESET_ON_CLOSE
 
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\ndone'
 TOO_LARGE = b'HTTP/1.1 413 No\r\nContent-Length: 5\r\n\r\nlarge'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 UPLOAD = b'x' * 8_000_000
 RETRIES = pytest.mark.parametrize('no_retry', [False, True])
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -3,7 +3,6 @@
 import contextlib
 import select
 import socket as threads
-import struct
 from dataclasses import replace
 from datetime import timedelta
 from threading import Thread
@@ -17,6 +16,7 @@
 from verbenamux_contracts.clock import ManualClock, SystemClock
 from verbenamux_http import client
 from verbenamux_http.client import (
+    RESET_ON_CLOSE,
     BodyMemory,
     ConnectionPool,
     Outgoing,
@@ -129,6 +129,7 @@
         (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello', Fault.BROKEN),
         (b'HTTP/1.1 200 OK\r\nContent-Le', Fault.BROKEN),
         (b'garbage\r\n\r\n', Fault.MALFORMED),
+        (HELLO.replace(b'200', b'000') + HELLO, Fault.MALFORMED),
     ],
 )
 def test_incomplete_answers_are_typed_failures(pool, script, fault):
@@ -326,7 +327,6 @@
 
 
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nhello'
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def reset(opened):
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import struct
 from collections import Counter
 from dataclasses import replace
 from itertools import count
@@ -21,7 +20,7 @@
 from soak.evidence import Attempt, Evidence
 from soak.targets import Target, proof_of, whole_answer
 from soak.world import World
-from verbenamux_http.client import ConnectionPool
+from verbenamux_http.client import RESET_ON_CLOSE, ConnectionPool
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(120)]
 
@@ -31,7 +30,6 @@
 UPLOAD = b'x' * (3 * 1024 * 1024)
 # Far less than an upload, so that it is still being written.
 RECEIVE_BUFFER_BYTES = 65536
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 CALLERS = 6
 REQUESTS_PER_CALLER = 10
 SOUND_EACH = 3
