Tests: one way to end a connection, one start of a stand-in

Cause: three tests had a reset of their own, two of them an end with a reset behind it, and the raw target repeated the start and the crash of the stand-in that it extends.

Change: tests/connection_ends.py has the ends; a stand-in's start asks make_server for its server, which is all that the raw target replaces. No assertion changes.

--- a/tests/agent/test_target.py
+++ b/tests/agent/test_target.py
@@ -2,10 +2,10 @@
 
 import gevent
 import pytest
-from gevent import socket
 from gevent.server import StreamServer
 from returns.pipeline import is_successful
 
+from connection_ends import end, end_and_reset, reset
 from verbenamux_agent.target import (
     NETWORK_ERRORS,
     Call,
@@ -13,7 +13,6 @@
     read_chunks,
 )
 from verbenamux_contracts.errors import Run
-from verbenamux_http.client import RESET_ON_CLOSE
 
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\ndone'
@@ -56,18 +55,8 @@
         self.finish(opened)
 
 
-def reset(opened):
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    opened.close()
-
-
-def end_and_reset(opened):
-    opened.shutdown(socket.SHUT_WR)
-    reset(opened)
-
-
 def end_and_read_on(opened):
-    opened.shutdown(socket.SHUT_WR)
+    end(opened)
     while opened.recv(65536):
         pass
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -13,10 +13,10 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from connection_ends import end, end_and_reset, reset
 from verbenamux_contracts.clock import ManualClock, SystemClock
 from verbenamux_http import client
 from verbenamux_http.client import (
-    RESET_ON_CLOSE,
     BodyMemory,
     ConnectionPool,
     Outgoing,
@@ -329,20 +329,6 @@
 UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nhello'
 
 
-def reset(opened):
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    opened.close()
-
-
-def end(opened):
-    opened.shutdown(socket.SHUT_WR)
-
-
-def end_and_reset(opened):
-    end(opened)
-    reset(opened)
-
-
 def wait_for_acknowledgements(_opened):
     gevent.sleep(2 * SOON.total_seconds())
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -14,12 +14,13 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from connection_ends import end, reset
 from soak.callers import Callers
 from soak.checking import answers_are_the_targets
 from soak.evidence import Attempt, Evidence
 from soak.targets import Target, proof_of, whole_answer
 from soak.world import World
-from verbenamux_http.client import RESET_ON_CLOSE, ConnectionPool
+from verbenamux_http.client import ConnectionPool
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(120)]
 
@@ -61,23 +62,15 @@
         self.answer_broken = None
         self.answered_ids = set()
 
-    def start(self):
-        self.starts += 1
-        self.instance = f'{self.service}-{self.address}-{self.starts}'
-        host, _, port = self.address.rpartition(':')
+    def make_server(self, address):
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        listener.bind((host, int(port)))
+        listener.bind(address)
         listener.listen()
-        self.server = StreamServer(listener, self.serve)
-        self.server.start()
-
-    def crash(self):
-        server, self.server = self.server, None
-        server.stop(timeout=0)
+        return StreamServer(listener, self.serve)
 
     def serve(self, opened, _peer):
         with contextlib.suppress(OSError):
@@ -124,8 +117,7 @@
 
 def reset_behind_a_part(opened, request_id, _upload):
     opened.sendall(head(request_id) + whole_answer(request_id)[:4])
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    opened.close()
+    reset(opened)
 
 
 def write_once_read(make_answer):
@@ -142,7 +134,7 @@
 
 def end_in_good_order(opened, request_id, upload):
     opened.sendall(head(request_id) + whole_answer(request_id))
-    opened.shutdown(socket.SHUT_WR)
+    end(opened)
     upload.read()
 
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -154,16 +154,19 @@
         self.starts += 1
         self.instance = f'{self.service}-{self.address}-{self.starts}'
         host, _, port = self.address.rpartition(':')
-        self.server = WSGIServer(
-            (host, int(port)),
+        self.server = self.make_server((host, int(port)))
+        self.server.opened = set()
+        self.server.start()
+
+    def make_server(self, address):
+        return WSGIServer(
+            address,
             self.answer,
             handler_class=AnsweringConnection,
             spawn=Pool(MAX_POOL_SIZE),
             log=None,
             error_log=None,
         )
-        self.server.opened = set()
-        self.server.start()
 
     def crash(self):
         """End as a process does: its connections close as they are."""
