--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -546,7 +546,7 @@
 
     async def send(self, request_id, path, fields=(), body=b'', method='POST',
                    deadline_ms=4000, key='key-1', host='h.example',
-                   on_piece=None):
+                   on_piece=None, is_chunked=False):
         """Send one request and return its Answer."""
         record, answer = self.world.record, Answer()
         if self.writer is None:
@@ -554,8 +554,11 @@
         lines = [
             f'{method} {path} HTTP/1.1', f'Host: {host}',
             f'Attempt-Id: {request_id}', f'Deadline-Ms: {deadline_ms}',
-            f'Content-Length: {len(body)}',
+            'Transfer-Encoding: chunked' if is_chunked
+            else f'Content-Length: {len(body)}',
         ]
+        if is_chunked:
+            body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
         if key is not None:
             lines.append(f'Authorization: Bearer {key}')
         lines += [f'{name}: {text}' for name, text in fields]
