--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import resource
 import shutil
 import signal
 import struct
@@ -38,6 +39,15 @@
 CLOSED = (OSError, asyncio.IncompleteReadError, ValueError, EOFError)
 
 
+def allow_files(count):
+    """Let this process and those that it starts open so many files."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < count:
+        raise RuntimeError(f'only {hard} open files are allowed')
+    if soft < count:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 def is_troubled():
     """Return whether the disruption takes place."""
     return os.environ.get('TROUBLE', '1') != '0'
