--- a/review/standins-3/engine.py
+++ b/review/standins-3/engine.py
@@ -6,7 +6,7 @@
 
 from world import CLOSED, Server, encode, json_answer
 
-EVENTS, EVENT_SECONDS, READING_SECONDS = 13, 0.03, 0.1
+READING_SECONDS = 0.1
 
 
 class Engine(Server):
@@ -16,6 +16,8 @@
     them from its own disk when it is ordered to.
     """
 
+    events, event_seconds = 13, 0.03
+
     def __init__(self, world, host, service, server_id, models, slots=64):
         super().__init__(world, host, service, server_id, slots)
         self.models = {model['name']: model for model in models}
@@ -109,13 +111,13 @@
         lines += [f'{name}: {text}' for name, text in self.own_fields(request)]
         writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
         born = self.born
-        for number in range(first, EVENTS + 1):
+        for number in range(first, self.events + 1):
             await self.before_event(request, writer, number)
             if born != self.born or writer.is_closing():
                 raise CLOSED[0]('cut')
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-            await asyncio.sleep(EVENT_SECONDS)
+            await asyncio.sleep(self.event_seconds)
         writer.write(b'0\r\n\r\n')
         return True
 
